--- /dev/null
+++ b/cmd/gypsumctl/main.go
@@ -0,0 +1,4 @@
+// Command gypsumctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/state/failover/messages.go
@@ -0,0 +1,144 @@
+package failover
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// Event is an input to the machine. The types below are all there are.
+type Event interface{ isEvent() }
+
+// Action is an output of the machine, to be carried out by the caller. The
+// types below are all there are.
+type Action interface{ isAction() }
+
+// Tick lets time pass; it comes every TickInterval.
+type Tick struct{}
+
+// HeadRead answers a ReadHead or arrives from a peer. StartedAt is the
+// machine's time before the read was sent.
+type HeadRead struct {
+	StartedAt time.Duration
+	Head      *model.Head
+	// Failed means that the platform gave no answer.
+	Failed bool
+}
+
+// WriteOutcome is what is known of a conditional put.
+type WriteOutcome uint8
+
+// The outcomes of a conditional put.
+const (
+	WriteUnknown WriteOutcome = iota
+	WriteApplied
+	WriteConflict
+)
+
+// HeadWritten answers a WriteHead. Head is the row as it is now, unless the
+// outcome is unknown.
+type HeadWritten struct {
+	Op      uint64
+	Outcome WriteOutcome
+	Head    *model.Head
+}
+
+// Probed is the result of one probe of an upstream.
+type Probed struct {
+	Group     model.GroupID
+	Upstream  model.UpstreamID
+	StartedAt time.Duration
+	// Reachable is false when the upstream gave no answer; the rest is then
+	// zero.
+	Reachable bool
+	Timeline  uint32
+	// Recovering is true on a replica.
+	Recovering bool
+	// LSN is the primary's current position, or the position that a replica
+	// has replayed.
+	LSN model.LSN
+}
+
+// Promoted answers a Promote.
+type Promoted struct {
+	Group    model.GroupID
+	Upstream model.UpstreamID
+	Next     model.Generation
+	OK       bool
+	Timeline uint32
+	// StartLSN is the position at which the new timeline starts.
+	StartLSN model.LSN
+}
+
+// PeerReceived carries a message from a peer.
+type PeerReceived struct {
+	From    model.InstanceID
+	Message PeerMessage
+}
+
+// SwitchAsked is an operator's order to move a group's primary.
+type SwitchAsked struct {
+	Group  model.GroupID
+	Target model.UpstreamID
+}
+
+// BundleAdopted gives the groups of the configuration in force.
+type BundleAdopted struct{ Groups []GroupSpec }
+
+// GroupSpec names a group and its upstreams.
+type GroupSpec struct {
+	ID        model.GroupID
+	Upstreams []UpstreamSpec
+}
+
+// UpstreamSpec names an upstream.
+type UpstreamSpec struct {
+	ID         model.UpstreamID
+	DataCentre model.DataCentre
+	Leaving    bool
+}
+
+// ReadHead asks for a read of the head row.
+type ReadHead struct{}
+
+// WriteHead asks for a conditional put of the head row at version IfVersion.
+type WriteHead struct {
+	Op        uint64
+	IfVersion model.RowVersion
+	Head      *model.Head
+}
+
+// SendPeer sends a message; it may be lost.
+type SendPeer struct {
+	To      model.InstanceID
+	Message PeerMessage
+}
+
+// Promote orders a replica to become primary.
+type Promote struct {
+	Group    model.GroupID
+	Upstream model.UpstreamID
+	Next     model.Generation
+}
+
+// Report is a numbered event for the log; see package events.
+type Report struct {
+	Kind   ReportKind
+	Group  model.GroupID
+	Detail string
+}
+
+func (Tick) isEvent()          {}
+func (HeadRead) isEvent()      {}
+func (HeadWritten) isEvent()   {}
+func (Probed) isEvent()        {}
+func (Promoted) isEvent()      {}
+func (PeerReceived) isEvent()  {}
+func (SwitchAsked) isEvent()   {}
+func (BundleAdopted) isEvent() {}
+
+func (ReadHead) isAction()  {}
+func (WriteHead) isAction() {}
+func (SendPeer) isAction()  {}
+func (Promote) isAction()   {}
+func (Report) isAction()    {}
