Add the mesh: messages, calls and forwarded streams over yamux

Frames are bounded; a malformed or oversized frame closes the session it came on and leaves the others alone, which the specs show for bytes in place of the hello, an oversized hello and bytes in place of a yamux frame.

--- /dev/null
+++ b/pkg/transport/mesh/export_test.go
@@ -0,0 +1,13 @@
+package mesh
+
+import (
+	"bytes"
+
+	"gypsumdock/pkg/protocol/meshpb"
+)
+
+// DecodeEnvelope reads one frame from data.
+func DecodeEnvelope(data []byte) {
+	var message meshpb.Envelope
+	_ = readFrame(bytes.NewReader(data), DefaultMaxFrameBytes, &message)
+}
--- /dev/null
+++ b/pkg/transport/mesh/link.go
@@ -0,0 +1,273 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
+
+	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/model"
+)
+
+// link is the session that this instance dialled to one peer. States:
+// disconnected -> (dialled, hello exchanged) -> connected -> (any error) ->
+// disconnected, until its context ends.
+type link struct {
+	config Config
+	peer   model.Member
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// mu guards the fields below. It is never held during I/O.
+	mu      sync.Mutex
+	session *yamux.Session
+	queue   chan *meshpb.Envelope
+	pending map[uint64]chan *meshpb.Envelope
+	lastID  uint64
+	heard   time.Time
+}
+
+func newLink(ctx context.Context, config Config, peer model.Member) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	return &link{
+		config:  config,
+		peer:    peer,
+		ctx:     ctx,
+		cancel:  cancel,
+		pending: make(map[uint64]chan *meshpb.Envelope),
+	}
+}
+
+// run keeps the session open until the link's context ends.
+func (l *link) run() {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = redialMin
+	wait.MaxInterval = redialMax
+	for l.ctx.Err() == nil {
+		served, err := l.serveOnce()
+		if served {
+			wait.Reset()
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		l.config.Logger.Debug("mesh session ended", "peer", l.peer.ID, "error", err)
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+// serveOnce dials the peer and serves the session until it fails. It reports
+// whether a session was established.
+func (l *link) serveOnce() (bool, error) {
+	conn, err := l.dial()
+	if err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(l.ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	hello, err := handshake(conn, l.config)
+	if err != nil {
+		return false, err
+	}
+	if model.InstanceID(hello.GetInstance()) != l.peer.ID {
+		return false, errors.Errorf("address of %s answers as %s", l.peer.ID, hello.GetInstance())
+	}
+	session, err := yamux.Client(conn, yamuxConfig(l.config))
+	if err != nil {
+		return false, errors.Wrap(err, "start session")
+	}
+	defer func() { _ = session.Close() }()
+	return true, l.serveSession(session)
+}
+
+func (l *link) dial() (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.config.HandshakeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	if l.config.ClientTLS == nil {
+		return dialer.DialContext(ctx, "tcp", l.peer.Address)
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: l.config.ClientTLS}
+	return secure.DialContext(ctx, "tcp", l.peer.Address)
+}
+
+// serveSession runs the message stream until it fails.
+func (l *link) serveSession(session *yamux.Session) error {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return errors.Wrap(err, "open message stream")
+	}
+	open := &meshpb.StreamOpen{Kind: &meshpb.StreamOpen_Messages{Messages: &meshpb.MessageOpen{}}}
+	if err := writeFrame(stream, open); err != nil {
+		return errors.Wrap(err, "open message stream")
+	}
+	queue := l.attach(session)
+	defer l.detach()
+	writerDone := make(chan struct{})
+	go func() {
+		defer close(writerDone)
+		writeMessages(stream, queue, session.CloseChan())
+		_ = session.Close()
+	}()
+	err = l.readReplies(stream)
+	_ = session.Close()
+	<-writerDone
+	return err
+}
+
+// writeMessages sends the queue until the session is closed or a write fails.
+func writeMessages(stream net.Conn, queue <-chan *meshpb.Envelope, closed <-chan struct{}) {
+	writer := bufio.NewWriter(stream)
+	for {
+		select {
+		case <-closed:
+			return
+		case message := <-queue:
+			if writeBuffered(writer, message, queue) != nil {
+				return
+			}
+		}
+	}
+}
+
+// readReplies delivers the answers to calls until the stream fails.
+func (l *link) readReplies(stream net.Conn) error {
+	reader := bufio.NewReader(stream)
+	for {
+		message := new(meshpb.Envelope)
+		if err := readFrame(reader, l.config.MaxFrameBytes, message); err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		l.deliver(message)
+	}
+}
+
+func (l *link) deliver(message *meshpb.Envelope) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = time.Now()
+	waiting, exists := l.pending[message.GetCallId()]
+	if !exists {
+		return
+	}
+	delete(l.pending, message.GetCallId())
+	waiting <- message
+}
+
+func (l *link) attach(session *yamux.Session) chan *meshpb.Envelope {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session = session
+	l.queue = make(chan *meshpb.Envelope, l.config.QueueMessages)
+	l.heard = time.Now()
+	return l.queue
+}
+
+// detach fails all waiting calls: their channels are closed.
+func (l *link) detach() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session = nil
+	l.queue = nil
+	for id, waiting := range l.pending {
+		close(waiting)
+		delete(l.pending, id)
+	}
+}
+
+func (l *link) send(message *meshpb.Envelope) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.enqueue(message)
+}
+
+// enqueue puts message into the queue without waiting. l.mu is held.
+func (l *link) enqueue(message *meshpb.Envelope) error {
+	if l.queue == nil {
+		return ErrPeerUnreachable
+	}
+	select {
+	case l.queue <- message:
+		return nil
+	default:
+		return ErrQueueFull
+	}
+}
+
+func (l *link) call(ctx context.Context, message *meshpb.Envelope) (*meshpb.Envelope, error) {
+	id, answer, err := l.register(message)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case reply, open := <-answer:
+		if !open {
+			return nil, errors.Wrap(ErrPeerUnreachable, "session lost during call")
+		}
+		return reply, nil
+	case <-ctx.Done():
+		l.forget(id)
+		return nil, ctx.Err()
+	}
+}
+
+func (l *link) register(message *meshpb.Envelope) (uint64, chan *meshpb.Envelope, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	message.CallId = l.lastID
+	if err := l.enqueue(message); err != nil {
+		return 0, nil, err
+	}
+	answer := make(chan *meshpb.Envelope, 1)
+	l.pending[message.CallId] = answer
+	return message.CallId, answer, nil
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+func (l *link) forward(open *meshpb.ForwardOpen) (net.Conn, error) {
+	l.mu.Lock()
+	session := l.session
+	l.mu.Unlock()
+	if session == nil {
+		return nil, ErrPeerUnreachable
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open forward stream")
+	}
+	kind := &meshpb.StreamOpen{Kind: &meshpb.StreamOpen_Forward{Forward: open}}
+	if err := writeFrame(stream, kind); err != nil {
+		_ = stream.Close()
+		return nil, errors.Wrap(err, "open forward stream")
+	}
+	return stream, nil
+}
+
+func (l *link) connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session != nil
+}
+
+func (l *link) lastHeard() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
+}
--- /dev/null
+++ b/pkg/transport/mesh/mesh_test.go
@@ -0,0 +1,137 @@
+package mesh_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/mesh"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mesh")
+}
+
+// echo answers MarkAsk with the position in the session's name length, and
+// copies forwarded streams back.
+type echo struct{ received chan *meshpb.Envelope }
+
+func (e *echo) HandleMessage(_ model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	ask := message.GetMarkAsk()
+	if ask == nil {
+		e.received <- message
+		return
+	}
+	mark := &meshpb.Mark{Lsn: uint64(len(ask.GetSession()))}
+	answer := &meshpb.MarkAnswer{Mark: mark}
+	reply(&meshpb.Envelope{Body: &meshpb.Envelope_MarkAnswer{MarkAnswer: answer}})
+}
+
+func (e *echo) HandleForward(_ context.Context, _ model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
+	_, _ = io.Copy(conn, conn)
+	_ = conn.Close()
+}
+
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+func start(id model.InstanceID) (*mesh.Node, model.Member, *echo) {
+	listener := listen()
+	self := model.Member{ID: id, Address: listener.Addr().String()}
+	handler := &echo{received: make(chan *meshpb.Envelope, 16)}
+	node := mesh.New(mesh.Config{
+		Self:     self,
+		Region:   "cymru-south",
+		Listener: listener,
+		Handler:  handler,
+		Logger:   slog.New(slog.DiscardHandler),
+	})
+	DeferCleanup(node.Close)
+	return node, self, handler
+}
+
+func askOf(session string) *meshpb.Envelope {
+	return &meshpb.Envelope{Body: &meshpb.Envelope_MarkAsk{MarkAsk: &meshpb.MarkAsk{Session: session}}}
+}
+
+var _ = Describe("Node", func() {
+	var left *mesh.Node
+	var right model.Member
+	var handler *echo
+
+	BeforeEach(func() {
+		left, _, _ = start("left")
+		_, right, handler = start("right")
+		left.SetPeers([]model.Member{right})
+		Eventually(func() bool { return left.Connected("right") }).Should(BeTrue())
+	})
+
+	It("carries messages, calls and forwarded streams", func(ctx SpecContext) {
+		Expect(left.Send("right", &meshpb.Envelope{Body: &meshpb.Envelope_Status{Status: &meshpb.Status{Revision: 7}}})).To(Succeed())
+		var message *meshpb.Envelope
+		Eventually(ctx, handler.received).Should(Receive(&message))
+		Expect(message.GetStatus().GetRevision()).To(Equal(uint64(7)))
+
+		answer, err := left.Call(ctx, "right", askOf("12345"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetMarkAnswer().GetMark().GetLsn()).To(Equal(uint64(5)))
+
+		conn, err := left.Forward("right", &meshpb.ForwardOpen{Group: "plugs"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("statement"))
+		Expect(err).NotTo(HaveOccurred())
+		echoed := make([]byte, len("statement"))
+		_, err = io.ReadFull(conn, echoed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(echoed)).To(Equal("statement"))
+		Expect(conn.Close()).To(Succeed())
+	})
+
+	It("refuses an unknown peer as unreachable", func(ctx SpecContext) {
+		_, err := left.Call(ctx, "nobody", askOf("s"))
+		Expect(err).To(MatchError(mesh.ErrPeerUnreachable))
+	})
+
+	DescribeTable("closes only the session that sent malformed bytes",
+		func(ctx SpecContext, garbage []byte, afterHello bool) {
+			conn, err := net.Dial("tcp", right.Address)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			if afterHello {
+				hello := &meshpb.Hello{Version: mesh.ProtocolVersion, Instance: "bad", Region: "cymru-south"}
+				_, err = protodelim.MarshalTo(conn, hello)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			_, err = conn.Write(garbage)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, bufio.NewReader(conn))
+			Expect(err).To(Or(BeNil(), MatchError(ContainSubstring("reset"))))
+			_, err = left.Call(ctx, "right", askOf("still here"))
+			Expect(err).NotTo(HaveOccurred())
+		},
+		Entry("in place of the hello", []byte{0x05, 0xff, 0xff, 0xff, 0xff, 0xff}, false),
+		Entry("a hello over the frame limit", []byte{0xff, 0xff, 0xff, 0xff, 0x0f}, false),
+		Entry("in place of a yamux frame", []byte("GET / HTTP/1.1\r\n\r\n"), true),
+	)
+})
+
+func FuzzEnvelope(f *testing.F) {
+	f.Add([]byte{0x02, 0x08, 0x01})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		mesh.DecodeEnvelope(data)
+	})
+}
--- /dev/null
+++ b/pkg/transport/mesh/node.go
@@ -0,0 +1,142 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/model"
+)
+
+// Node is an instance's end of the mesh. Its methods are safe for concurrent
+// use.
+type Node struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	// mu guards links and inbound.
+	mu      sync.Mutex
+	links   map[model.InstanceID]*link
+	inbound map[net.Conn]struct{}
+}
+
+// New starts a node that accepts peers on config.Listener. Close ends it.
+func New(config Config) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		config:  config.withDefaults(),
+		ctx:     ctx,
+		cancel:  cancel,
+		links:   make(map[model.InstanceID]*link),
+		inbound: make(map[net.Conn]struct{}),
+	}
+	n.group.Go(n.accept)
+	return n
+}
+
+// SetPeers replaces the set of peers to dial. Sessions to others are closed.
+func (n *Node) SetPeers(peers []model.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wanted := make(map[model.InstanceID]model.Member, len(peers))
+	for _, peer := range peers {
+		if peer.ID != n.config.Self.ID {
+			wanted[peer.ID] = peer
+		}
+	}
+	n.dropLinks(wanted)
+	n.addLinks(wanted)
+}
+
+// dropLinks closes the links that are not wanted. n.mu is held.
+func (n *Node) dropLinks(wanted map[model.InstanceID]model.Member) {
+	for id, existing := range n.links {
+		if peer, keep := wanted[id]; keep && peer.Address == existing.peer.Address {
+			continue
+		}
+		existing.cancel()
+		delete(n.links, id)
+	}
+}
+
+// addLinks starts the links that are missing. n.mu is held.
+func (n *Node) addLinks(wanted map[model.InstanceID]model.Member) {
+	for id, peer := range wanted {
+		if _, exists := n.links[id]; exists {
+			continue
+		}
+		created := newLink(n.ctx, n.config, peer)
+		n.links[id] = created
+		n.group.Go(created.run)
+	}
+}
+
+// Send queues a message without an answer. It does not wait.
+func (n *Node) Send(to model.InstanceID, message *meshpb.Envelope) error {
+	found, err := n.link(to)
+	if err != nil {
+		return err
+	}
+	return found.send(message)
+}
+
+// Call sends message and waits for its answer, until ctx ends. An error after
+// the message was queued leaves open whether the peer handled it.
+func (n *Node) Call(ctx context.Context, to model.InstanceID, message *meshpb.Envelope) (*meshpb.Envelope, error) {
+	found, err := n.link(to)
+	if err != nil {
+		return nil, err
+	}
+	return found.call(ctx, message)
+}
+
+// Forward opens a stream for a unit of work. The caller owns the connection.
+func (n *Node) Forward(to model.InstanceID, open *meshpb.ForwardOpen) (net.Conn, error) {
+	found, err := n.link(to)
+	if err != nil {
+		return nil, err
+	}
+	return found.forward(open)
+}
+
+// Connected reports whether a session to the peer is open.
+func (n *Node) Connected(id model.InstanceID) bool {
+	found, err := n.link(id)
+	return err == nil && found.connected()
+}
+
+// LastHeard returns when the last frame of the peer arrived on our session,
+// or the zero time.
+func (n *Node) LastHeard(id model.InstanceID) time.Time {
+	found, err := n.link(id)
+	if err != nil {
+		return time.Time{}
+	}
+	return found.lastHeard()
+}
+
+func (n *Node) link(id model.InstanceID) (*link, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	found, exists := n.links[id]
+	if !exists {
+		return nil, ErrPeerUnreachable
+	}
+	return found, nil
+}
+
+// Close ends all sessions and waits for their goroutines.
+func (n *Node) Close() {
+	n.cancel()
+	_ = n.config.Listener.Close()
+	n.mu.Lock()
+	for conn := range n.inbound {
+		_ = conn.Close()
+	}
+	n.mu.Unlock()
+	n.group.Wait()
+}
