--- /dev/null
+++ b/pkg/coordination/headstore/headstore.go
@@ -0,0 +1,103 @@
+// Package headstore keeps the head row of a region in the platform's table.
+package headstore
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+// KeyPrefix is the prefix of the head rows; the region's name follows.
+const KeyPrefix = "head/"
+
+// ErrNoHead is returned while no bundle has been applied in the region.
+var ErrNoHead = errors.New("no head row")
+
+// Store reads and writes the head row of one region.
+type Store struct {
+	table platform.Table
+	key   string
+}
+
+// New returns the store of the region's head row in table.
+func New(table platform.Table, region string) *Store {
+	return &Store{table: table, key: KeyPrefix + region}
+}
+
+// Key returns the row's key.
+func (s *Store) Key() string { return s.key }
+
+// Read returns the head row, or ErrNoHead.
+func (s *Store) Read(ctx context.Context) (*model.Head, error) {
+	row, err := s.table.Get(ctx, s.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "read head row")
+	}
+	if row == nil {
+		return nil, ErrNoHead
+	}
+	return Decode(row)
+}
+
+// Write puts head on the condition that the row has ifVersion. After a lost
+// answer it reads the row back; the outcome is unknown only if that fails too.
+func (s *Store) Write(
+	ctx context.Context, opID string, ifVersion model.RowVersion, head *model.Head,
+) (failover.WriteOutcome, *model.Head) {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return failover.WriteUnknown, nil
+	}
+	write := platform.Write{Key: s.key, IfVersion: ifVersion, Value: value}
+	result, err := s.table.Commit(ctx, opID, []platform.Write{write})
+	if err != nil {
+		return s.settle(ctx, opID)
+	}
+	written, err := decodeFirst(result.Rows)
+	if err != nil {
+		return failover.WriteUnknown, nil
+	}
+	if !result.Applied {
+		return failover.WriteConflict, written
+	}
+	return failover.WriteApplied, written
+}
+
+// settle finds the outcome of a write whose answer was lost. A row that still
+// has an older operation leaves it unknown, since the write may be on its way.
+func (s *Store) settle(ctx context.Context, opID string) (failover.WriteOutcome, *model.Head) {
+	row, err := s.table.Get(ctx, s.key)
+	if err != nil || row == nil {
+		return failover.WriteUnknown, nil
+	}
+	if row.OpID != opID {
+		return failover.WriteUnknown, nil
+	}
+	head, err := Decode(row)
+	if err != nil {
+		return failover.WriteUnknown, nil
+	}
+	return failover.WriteApplied, head
+}
+
+func decodeFirst(rows []*platform.Row) (*model.Head, error) {
+	if len(rows) != 1 || rows[0] == nil {
+		return nil, ErrNoHead
+	}
+	return Decode(rows[0])
+}
+
+// Decode reads a head row.
+func Decode(row *platform.Row) (*model.Head, error) {
+	head := new(model.Head)
+	if err := json.Unmarshal(row.Value, head); err != nil {
+		return nil, errors.Wrapf(err, "head row at version %d", row.Version)
+	}
+	head.Version = row.Version
+	return head, nil
+}
