--- /dev/null
+++ b/pkg/state/marks/group.go
@@ -0,0 +1,137 @@
+package marks
+
+import (
+	"container/list"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// groupMarks holds the marks of one group.
+type groupMarks struct {
+	head model.GroupHead
+	// floor stands for the writes of sessions without a mark of their own.
+	floor model.Mark
+	marks map[model.SessionID]*list.Element
+	// order holds the entries of marks, the least recently stored first.
+	order   *list.List
+	lost    map[model.SessionID]model.Mark
+	maxLost int
+	// overflowed counts the marks merged into floor for lack of room.
+	overflowed int
+}
+
+type entry struct {
+	session model.SessionID
+	mark    model.Mark
+}
+
+func newGroupMarks(maxLost int) *groupMarks {
+	return &groupMarks{
+		marks:   make(map[model.SessionID]*list.Element),
+		order:   list.New(),
+		lost:    make(map[model.SessionID]model.Mark),
+		maxLost: maxLost,
+	}
+}
+
+// setGeneration takes a newer generation. A mark of an older one survived only
+// at or below the start of each later generation; where a generation was
+// missed, its start is unknown and the mark counts as lost.
+func (g *groupMarks) setGeneration(head model.GroupHead) {
+	if head.Generation <= g.head.Generation {
+		return
+	}
+	g.head = head
+	for at := g.order.Front(); at != nil; {
+		next := at.Next()
+		held := at.Value.(entry)
+		if g.isLost(held.mark) {
+			g.remove(at)
+			g.addLost(held)
+		}
+		at = next
+	}
+}
+
+// Survived reports whether a write with the given mark is part of the history
+// of the group's present generation. It is false also where a generation in
+// between was missed, so that nothing is known.
+func Survived(mark model.Mark, head model.GroupHead) bool {
+	switch {
+	case mark.Generation >= head.Generation:
+		return true
+	case mark.Generation+1 == head.Generation:
+		return mark.LSN <= head.StartLSN
+	}
+	return false
+}
+
+func (g *groupMarks) isLost(mark model.Mark) bool { return !Survived(mark, g.head) }
+
+func (g *groupMarks) addLost(e entry) {
+	known, found := g.lost[e.session]
+	if !found && len(g.lost) >= g.maxLost {
+		g.overflowed++
+		return
+	}
+	g.lost[e.session] = e.mark.Max(known)
+}
+
+func (g *groupMarks) told(session model.SessionID, mark model.Mark) {
+	if lost, found := g.lost[session]; found && !mark.Before(lost) {
+		delete(g.lost, session)
+	}
+}
+
+func (g *groupMarks) raiseFloor(at model.Mark) { g.floor = g.floor.Max(at) }
+
+func (g *groupMarks) store(session model.SessionID, mark model.Mark, limit int) {
+	at, found := g.marks[session]
+	if !found {
+		g.makeRoom(limit)
+		g.marks[session] = g.order.PushBack(entry{session: session, mark: mark})
+		return
+	}
+	held := at.Value.(entry)
+	if held.mark.Before(mark) {
+		at.Value = entry{session: session, mark: mark}
+		g.order.MoveToBack(at)
+	}
+}
+
+// makeRoom merges the oldest marks into the floor while there are limit.
+func (g *groupMarks) makeRoom(limit int) {
+	for g.order.Len() >= max(limit, 1) {
+		oldest := g.order.Front()
+		g.raiseFloor(oldest.Value.(entry).mark)
+		g.remove(oldest)
+		g.overflowed++
+	}
+}
+
+func (g *groupMarks) remove(at *list.Element) {
+	delete(g.marks, at.Value.(entry).session)
+	g.order.Remove(at)
+}
+
+func (g *groupMarks) answer(session model.SessionID) model.Mark {
+	at, found := g.marks[session]
+	if !found {
+		return g.floor
+	}
+	return g.floor.Max(at.Value.(entry).mark)
+}
+
+// drop removes the marks that every replica in use has passed. It stops at the
+// first mark that is newer; one stored out of order waits for its turn.
+func (g *groupMarks) drop(passed model.Mark) {
+	for at := g.order.Front(); at != nil; at = g.order.Front() {
+		if passed.Before(at.Value.(entry).mark) {
+			break
+		}
+		g.remove(at)
+	}
+	if !passed.Before(g.floor) {
+		g.floor = model.Mark{}
+	}
+}
--- /dev/null
+++ b/pkg/state/marks/home.go
@@ -0,0 +1,268 @@
+package marks
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// StoreStatus is a home's answer to a Store.
+type StoreStatus uint8
+
+// The answers to a Store.
+const (
+	// StoreRefused means that the home does not know the version yet, or is
+	// not the session's home in it. Nothing was stored.
+	StoreRefused StoreStatus = iota
+	// StoreDone means that the mark is stored.
+	StoreDone
+	// StoreRetired means that the home has moved on to a newer version, and
+	// answers no more questions under the one asked.
+	StoreRetired
+	// StoreLost means that the mark's generation has ended below it: the
+	// write did not survive, and must not be acknowledged.
+	StoreLost
+)
+
+// AskStatus is a home's answer to a question.
+type AskStatus uint8
+
+// The answers to a question.
+const (
+	// AskUnknown means that the home cannot tell; see the package comment.
+	AskUnknown AskStatus = iota
+	// AskKnown means that the session's writes are at or below the answer's
+	// mark, which is zero if all replicas in use have passed them.
+	AskKnown
+	// AskLost means that a write of the session up to the answer's mark did
+	// not survive a change of primary. The session has to be told, and Told
+	// be sent, before it reads anything.
+	AskLost
+)
+
+// Answer is a home's answer to a question.
+type Answer struct {
+	Status AskStatus
+	Mark   model.Mark
+}
+
+// Key names a session's marks in one group.
+type Key struct {
+	Session model.SessionID
+	Group   model.GroupID
+}
+
+// HomeConfig configures a Home.
+type HomeConfig struct {
+	Self  model.InstanceID
+	Lease Lease
+	// MaxMarks bounds the marks held for one group. Beyond it the oldest are
+	// merged into the group's floor.
+	MaxMarks int
+	// MaxLost bounds the marks of lost writes held for one group.
+	MaxLost int
+	Rules   Rules
+}
+
+// Rules switches single rules off, for tests. The zero value has all on.
+type Rules struct {
+	// NoWindow answers for new sessions without waiting for the users of the
+	// earlier version.
+	NoWindow bool
+	// NoFloor answers for new sessions without a sample of the primary.
+	NoFloor bool
+	// NoRetire serves questions under any version.
+	NoRetire bool
+}
+
+// Home stores the marks of the sessions whose home this instance is.
+type Home struct {
+	config HomeConfig
+	// epochs is in ascending order of version; the last is the newest.
+	epochs []homeEpoch
+	groups map[model.GroupID]*groupMarks
+}
+
+// homeEpoch is a version of the members, as this home knows it.
+type homeEpoch struct {
+	set *Set
+	// settledAt is when the users of earlier versions are gone.
+	settledAt time.Duration
+	// floors holds the groups sampled at or after settledAt.
+	floors map[model.GroupID]bool
+}
+
+// NewHome returns a home that knows no version.
+func NewHome(config HomeConfig) *Home {
+	return &Home{config: config, groups: make(map[model.GroupID]*groupMarks)}
+}
+
+// maxEpochs bounds the versions kept while their floors are outstanding.
+const maxEpochs = 8
+
+// SetMembers takes a version of the members from the head row.
+func (h *Home) SetMembers(now time.Duration, set *Set) {
+	if len(h.epochs) > 0 {
+		last := h.epochs[len(h.epochs)-1].set.version
+		if set.version <= last {
+			return
+		}
+		if set.version > last+1 {
+			h.epochs = nil
+		}
+	}
+	settledAt := now + h.config.Lease.window()
+	if h.config.Rules.NoWindow {
+		settledAt = now
+	}
+	h.epochs = append(h.epochs, homeEpoch{
+		set:       set,
+		settledAt: settledAt,
+		floors:    make(map[model.GroupID]bool),
+	})
+	if len(h.epochs) > maxEpochs {
+		h.epochs = h.epochs[1:]
+	}
+}
+
+// SetGroups takes the state of the groups from the head row. Marks of an ended
+// generation above the position at which the next one starts become lost.
+func (h *Home) SetGroups(groups []model.GroupHead) {
+	for _, head := range groups {
+		h.group(head.ID).setGeneration(head)
+	}
+}
+
+// SetFloor takes a proven sample of the primary's position: the instance held
+// the group's permit when the answer came. askedAt is the time before the
+// question was sent.
+func (h *Home) SetFloor(askedAt time.Duration, group model.GroupID, at model.Mark) {
+	settled := -1
+	for i := range h.epochs {
+		if askedAt >= h.epochs[i].settledAt && !h.epochs[i].floors[group] {
+			h.epochs[i].floors[group] = true
+			settled = i
+		}
+	}
+	if settled >= 0 {
+		h.group(group).raiseFloor(at)
+	}
+	h.prune()
+}
+
+// prune drops the versions before the newest whose groups are all sampled.
+func (h *Home) prune() {
+	for i := len(h.epochs) - 1; i > 0; i-- {
+		if h.allSampled(&h.epochs[i]) {
+			h.epochs = h.epochs[i:]
+			return
+		}
+	}
+}
+
+func (h *Home) allSampled(epoch *homeEpoch) bool {
+	for id := range h.groups {
+		if !epoch.floors[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// NeedsFloor reports whether a sample of the group's primary, asked now, would
+// let the home answer for more sessions.
+func (h *Home) NeedsFloor(now time.Duration, group model.GroupID) bool {
+	for i := range h.epochs {
+		if now >= h.epochs[i].settledAt && !h.epochs[i].floors[group] {
+			return true
+		}
+	}
+	return false
+}
+
+// Store takes the mark of a write that has committed.
+func (h *Home) Store(key Key, mark model.Mark, version uint64) StoreStatus {
+	if status := h.accepts(key.Session, version); status != StoreDone {
+		return status
+	}
+	group := h.group(key.Group)
+	if group.isLost(mark) {
+		return StoreLost
+	}
+	group.store(key.Session, mark, h.config.MaxMarks)
+	return StoreDone
+}
+
+// accepts checks the version and the place of a session.
+func (h *Home) accepts(session model.SessionID, version uint64) StoreStatus {
+	if len(h.epochs) == 0 {
+		return StoreRefused
+	}
+	set := h.epochs[len(h.epochs)-1].set
+	retired := version < set.version && !h.config.Rules.NoRetire
+	switch {
+	case retired:
+		return StoreRetired
+	case version > set.version || set.Home(session) != h.config.Self && !h.config.Rules.NoRetire:
+		return StoreRefused
+	}
+	return StoreDone
+}
+
+// Ask returns what the session's reads have to respect.
+func (h *Home) Ask(key Key, version uint64) Answer {
+	if h.accepts(key.Session, version) != StoreDone {
+		return Answer{}
+	}
+	group := h.group(key.Group)
+	if lost, found := group.lost[key.Session]; found {
+		return Answer{Status: AskLost, Mark: lost}
+	}
+	if !h.settled(key) {
+		return Answer{}
+	}
+	return Answer{Status: AskKnown, Mark: group.answer(key.Session)}
+}
+
+// settled reports whether this home holds all marks of the session: it was the
+// session's home, without a break, since a version that has its floor.
+func (h *Home) settled(key Key) bool {
+	for i := len(h.epochs) - 1; i >= 0; i-- {
+		epoch := &h.epochs[i]
+		if epoch.set.Home(key.Session) != h.config.Self && !h.config.Rules.NoRetire {
+			return false
+		}
+		if epoch.floors[key.Group] || h.config.Rules.NoFloor {
+			return true
+		}
+	}
+	return false
+}
+
+// Told says that the session has been told of the loss of its writes up to
+// mark. Until then each question is answered with AskLost.
+func (h *Home) Told(key Key, mark model.Mark) {
+	h.group(key.Group).told(key.Session, mark)
+}
+
+// Passed says that every replica in use has applied the position at. The
+// configuration that names the replicas must be confirmed within the lease.
+func (h *Home) Passed(group model.GroupID, at model.Mark) { h.group(group).drop(at) }
+
+// Forget removes a group that is out of use.
+func (h *Home) Forget(group model.GroupID) { delete(h.groups, group) }
+
+// Size counts what a home holds.
+type Size struct{ Marks, Lost, Overflowed int }
+
+// Size returns what the home holds of all groups.
+func (h *Home) Size() Size { return sizeOf(h.groups) }
+
+func (h *Home) group(id model.GroupID) *groupMarks {
+	group, found := h.groups[id]
+	if !found {
+		group = newGroupMarks(h.config.MaxLost)
+		h.groups[id] = group
+	}
+	return group
+}
--- /dev/null
+++ b/pkg/state/marks/ledger.go
@@ -0,0 +1,118 @@
+package marks
+
+import (
+	"slices"
+	"strings"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// LostMark is the mark of a write that did not survive, on its way to the
+// session's home.
+type LostMark struct {
+	Key  Key
+	Mark model.Mark
+	// Home is where to send it with TakeLost; when it is taken, Told is
+	// called here.
+	Home Target
+}
+
+// Handover returns the marks of lost writes whose sessions have another home
+// under the newest version, ordered by key.
+func (h *Home) Handover() []LostMark {
+	if len(h.epochs) == 0 {
+		return nil
+	}
+	return lostElsewhere(h.groups, h.epochs[len(h.epochs)-1].set, h.config.Self)
+}
+
+// TakeLost takes the mark of a lost write from another instance.
+func (h *Home) TakeLost(key Key, mark model.Mark, version uint64) StoreStatus {
+	status := h.accepts(key.Session, version)
+	if status == StoreDone {
+		h.group(key.Group).addLost(entry{session: key.Session, mark: mark})
+	}
+	return status
+}
+
+// Ledger holds the marks of the writes that one instance has acknowledged, so
+// that a loss is noticed also if the session's home is gone.
+type Ledger struct {
+	self     model.InstanceID
+	maxMarks int
+	maxLost  int
+	groups   map[model.GroupID]*groupMarks
+}
+
+// NewLedger returns an empty ledger; the bounds are per group.
+func NewLedger(self model.InstanceID, maxMarks, maxLost int) *Ledger {
+	return &Ledger{
+		self:     self,
+		maxMarks: maxMarks,
+		maxLost:  maxLost,
+		groups:   make(map[model.GroupID]*groupMarks),
+	}
+}
+
+// Note takes the mark of a write before it is acknowledged.
+func (l *Ledger) Note(key Key, mark model.Mark) {
+	l.group(key.Group).store(key.Session, mark, l.maxMarks)
+}
+
+// SetGroups takes the state of the groups from the head row.
+func (l *Ledger) SetGroups(groups []model.GroupHead) {
+	for _, head := range groups {
+		l.group(head.ID).setGeneration(head)
+	}
+}
+
+// Passed says that every replica in use has applied the position at.
+func (l *Ledger) Passed(group model.GroupID, at model.Mark) { l.group(group).drop(at) }
+
+// Handover returns the marks of lost writes, ordered by key, with their homes
+// in the newest set.
+func (l *Ledger) Handover(set *Set) []LostMark { return lostElsewhere(l.groups, set, "") }
+
+// Told says that the mark was taken by the session's home.
+func (l *Ledger) Told(key Key, mark model.Mark) { l.group(key.Group).told(key.Session, mark) }
+
+// Size returns the number of marks and of lost marks held.
+func (l *Ledger) Size() Size { return sizeOf(l.groups) }
+
+func (l *Ledger) group(id model.GroupID) *groupMarks {
+	group, found := l.groups[id]
+	if !found {
+		group = newGroupMarks(l.maxLost)
+		l.groups[id] = group
+	}
+	return group
+}
+
+func lostElsewhere(groups map[model.GroupID]*groupMarks, set *Set, self model.InstanceID) []LostMark {
+	var found []LostMark
+	for id, group := range groups {
+		for session, mark := range group.lost {
+			home, known := target(set, session)
+			if known && home.Home != self {
+				found = append(found, LostMark{Key: Key{Session: session, Group: id}, Mark: mark, Home: home})
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b LostMark) int {
+		if byGroup := strings.Compare(string(a.Key.Group), string(b.Key.Group)); byGroup != 0 {
+			return byGroup
+		}
+		return strings.Compare(string(a.Key.Session), string(b.Key.Session))
+	})
+	return found
+}
+
+func sizeOf(groups map[model.GroupID]*groupMarks) Size {
+	var size Size
+	for _, group := range groups {
+		size.Marks += len(group.marks)
+		size.Lost += len(group.lost)
+		size.Overflowed += group.overflowed
+	}
+	return size
+}
