--- /dev/null
+++ b/pkg/events/mesh.go
@@ -0,0 +1,68 @@
+package events
+
+import "log/slog"
+
+// Events of the mesh.
+var (
+	// MeshListening is event 201.
+	MeshListening = define(Event{
+		Number:  201,
+		Name:    "listening for peers",
+		Level:   slog.LevelInfo,
+		Meaning: "The mesh listener is open.",
+	})
+	// PeerConnected is event 202.
+	PeerConnected = define(Event{
+		Number:  202,
+		Name:    "peer connected",
+		Level:   slog.LevelInfo,
+		Meaning: "A mesh session with a peer is open.",
+	})
+	// PeerLost is event 203.
+	PeerLost = define(Event{
+		Number:  203,
+		Name:    "peer lost",
+		Level:   slog.LevelWarn,
+		Meaning: "A mesh session ended without a planned stop of the peer.",
+		Action:  "If the peer is not being replaced: check the instance and the network.",
+	})
+	// PeerRefused is event 204.
+	PeerRefused = define(Event{
+		Number:  204,
+		Name:    "peer refused",
+		Level:   slog.LevelWarn,
+		Meaning: "The handshake failed: another region, an unknown version, or TLS.",
+		Action:  "Check the settings of both instances.",
+	})
+	// FrameMalformed is event 205.
+	FrameMalformed = define(Event{
+		Number:  205,
+		Name:    "malformed frame",
+		Level:   slog.LevelWarn,
+		Meaning: "A peer sent what is no valid frame; the session was closed.",
+		Action:  "Check what connects to the mesh port, and the versions in use.",
+	})
+	// FrameTooLarge is event 206.
+	FrameTooLarge = define(Event{
+		Number:  206,
+		Name:    "frame too large",
+		Level:   slog.LevelWarn,
+		Meaning: "A peer sent a frame above mesh.max_frame_bytes; the session was closed.",
+		Action:  "Set mesh.max_frame_bytes alike on all instances.",
+	})
+	// PeerCallTimedOut is event 207.
+	PeerCallTimedOut = define(Event{
+		Number:  207,
+		Name:    "peer call timed out",
+		Level:   slog.LevelInfo,
+		Meaning: "A peer gave no answer within mesh.call_timeout.",
+		Action:  "Many: check the peer's load.",
+	})
+	// ForwardRefused is event 208.
+	ForwardRefused = define(Event{
+		Number:  208,
+		Name:    "forward refused",
+		Level:   slog.LevelDebug,
+		Meaning: "A peer had no room for a forwarded unit of work.",
+	})
+)
--- /dev/null
+++ b/pkg/telemetry/catalogue.go
@@ -0,0 +1,56 @@
+package telemetry
+
+// Metrics of callers and statements.
+var (
+	CallerConnections = gauge("gypsumdock_caller_connections", "Open connections of callers.")
+	CallerRefused     = counter("gypsumdock_caller_refused_total", "Connections of callers refused before the first statement.", "reason")
+	Requests          = counter("gypsumdock_requests_total", "Units of work received: a statement outside a transaction, or a transaction.", "group")
+	Answers           = counter("gypsumdock_answers_total", "Units of work answered, by outcome: ran, not_run or may_have_run.", "group", "outcome")
+	Reads             = counter("gypsumdock_reads_total", "Read-only units of work by target: primary or replica.", "group", "target")
+	RequestSeconds    = histogram("gypsumdock_request_seconds", "Time from a unit's arrival to its answer.", "group")
+	Retries           = counter("gypsumdock_retries_total", "Units sent again by the proxy after an outcome of not run.", "group")
+)
+
+// Metrics of upstreams.
+var (
+	UpstreamOpened      = counter("gypsumdock_upstream_connections_opened_total", "Connections opened to upstreams.", "upstream")
+	UpstreamClosed      = counter("gypsumdock_upstream_connections_closed_total", "Connections to upstreams closed.", "upstream")
+	UpstreamConnections = gauge("gypsumdock_upstream_connections", "Open connections to upstreams.", "upstream")
+	UpstreamGrant       = gauge("gypsumdock_upstream_grant", "Connections that this instance may hold to the upstream.", "upstream")
+	UpstreamLag         = gauge("gypsumdock_upstream_lag_seconds", "Upper bound of a replica's lag.", "upstream")
+	UpstreamSeconds     = histogram("gypsumdock_upstream_seconds", "Time that an upstream took for a unit of work.", "upstream")
+)
+
+// Metrics of the mesh.
+var (
+	MeshPeers    = gauge("gypsumdock_mesh_peers", "Peers with an open mesh session.")
+	MeshCalls    = counter("gypsumdock_mesh_calls_total", "Calls to peers, by kind and result: ok, timeout or failed.", "kind", "result")
+	MeshBytes    = counter("gypsumdock_mesh_bytes_total", "Bytes of mesh traffic, by direction: in or out.", "direction")
+	MeshForwards = counter("gypsumdock_mesh_forwards_total", "Units of work forwarded to a peer.", "group")
+)
+
+// Metrics of failover and permits.
+var (
+	PermitValid     = gauge("gypsumdock_permit_valid", "1 while this instance may send writes to the group, else 0.", "group")
+	GroupGeneration = gauge("gypsumdock_group_generation", "Generation of the group's primary.", "group")
+	Promotions      = counter("gypsumdock_promotions_total", "Promotions ordered by this instance, by kind: failover or switch.", "group", "kind")
+	FailoverSeconds = histogram("gypsumdock_failover_seconds", "Time from the first sign of a lost primary to its successor's start, as this instance saw it.", "group")
+)
+
+// Metrics of sessions and admission.
+var (
+	SessionMarks  = gauge("gypsumdock_session_marks", "Marks of writes held for sessions.")
+	WritesLost    = counter("gypsumdock_writes_lost_total", "Sessions told that a write did not survive a change of primary.", "group")
+	QueueLength   = gauge("gypsumdock_queue_length", "Units of work waiting for a slot.", "group")
+	QueueSeconds  = histogram("gypsumdock_queue_seconds", "Time that a unit of work waited for a slot.", "group")
+	AdmissionShed = counter("gypsumdock_admission_refused_total", "Units of work refused because they would miss their deadline.", "group")
+)
+
+// Metrics of configuration, the platform and the process's own checks.
+var (
+	ConfigurationRevision = gauge("gypsumdock_configuration_revision", "Revision of the configuration in force.")
+	PlatformCalls         = counter("gypsumdock_platform_calls_total", "Calls to the platform, by operation (read or write), mechanism (first part of the key) and result (ok or failed).", "operation", "mechanism", "result")
+	PlatformSeconds       = histogram("gypsumdock_platform_seconds", "Time that a call to the platform took.", "operation")
+	EventsLogged          = counter("gypsumdock_events_total", "Events logged, by number; see EVENTS.md.", "event")
+	AuditDifferences      = counter("gypsumdock_audit_differences_total", "Differences found between counters that must agree.", "check")
+)
