--- a/pkg/state/failover/messages.go
+++ b/pkg/state/failover/messages.go
@@ -57,9 +57,14 @@
 	// LSN is the primary's current position, or the position that a replica
 	// has replayed.
 	LSN model.LSN
+	// Follows names the upstream that a replica streams from; empty if that is
+	// not known.
+	Follows model.UpstreamID
 }
 
-// Promoted answers a Promote.
+// Promoted answers a Promote. Promote is idempotent: an upstream that is no
+// longer recovering answers with the timeline that it started and the position
+// at which it did.
 type Promoted struct {
 	Group    model.GroupID
 	Upstream model.UpstreamID
@@ -82,6 +87,29 @@
 	Target model.UpstreamID
 }
 
+// WritesDrained tells that no write of the generation is in flight on this
+// instance. It ends the wait of a planned switch early.
+type WritesDrained struct {
+	Group      model.GroupID
+	Generation model.Generation
+}
+
+// InstancesListed is the platform's list of instances, which lags.
+type InstancesListed struct{ Instances []ListedInstance }
+
+// ListedInstance is an entry of the platform's list.
+type ListedInstance struct {
+	ID      model.InstanceID
+	Leaving bool
+}
+
+// StopAsked starts a graceful stop: the instance flags itself as leaving.
+type StopAsked struct{}
+
+// StopFinished ends a graceful stop: nothing is in flight any more, so the
+// instance gives up its permits and removes its registration.
+type StopFinished struct{}
+
 // BundleAdopted gives the groups of the configuration in force.
 type BundleAdopted struct{ Groups []GroupSpec }
 
@@ -89,6 +117,9 @@
 type GroupSpec struct {
 	ID        model.GroupID
 	Upstreams []UpstreamSpec
+	// SyncReplicas is the largest number of replicas that a route of the group
+	// waits for before it acknowledges a write.
+	SyncReplicas int
 }
 
 // UpstreamSpec names an upstream.
@@ -128,14 +159,18 @@
 	Detail string
 }
 
-func (Tick) isEvent()          {}
-func (HeadRead) isEvent()      {}
-func (HeadWritten) isEvent()   {}
-func (Probed) isEvent()        {}
-func (Promoted) isEvent()      {}
-func (PeerReceived) isEvent()  {}
-func (SwitchAsked) isEvent()   {}
-func (BundleAdopted) isEvent() {}
+func (Tick) isEvent()            {}
+func (HeadRead) isEvent()        {}
+func (HeadWritten) isEvent()     {}
+func (Probed) isEvent()          {}
+func (Promoted) isEvent()        {}
+func (PeerReceived) isEvent()    {}
+func (SwitchAsked) isEvent()     {}
+func (BundleAdopted) isEvent()   {}
+func (WritesDrained) isEvent()   {}
+func (InstancesListed) isEvent() {}
+func (StopAsked) isEvent()       {}
+func (StopFinished) isEvent()    {}
 
 func (ReadHead) isAction()  {}
 func (WriteHead) isAction() {}
--- /dev/null
+++ b/pkg/state/failover/promoter.go
@@ -0,0 +1,269 @@
+package failover
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// sealRecord is what this instance knows of the seal of a generation.
+type sealRecord struct {
+	generation model.Generation
+	known      bool
+	// learnedAt is when this instance first knew that the generation is sealed.
+	learnedAt time.Duration
+	content   model.Seal
+	// contentAt is when it learned of the present content.
+	contentAt time.Duration
+	// confirmed holds the members that gave up the generation for good.
+	confirmed map[model.InstanceID]bool
+	// stopSentAt is when StopWrites was last sent.
+	stopSentAt time.Duration
+	// stoppedAt is when all permits were found to be gone.
+	stopped   bool
+	stoppedAt time.Duration
+}
+
+// promoteRecord is what this instance has ordered and been answered.
+type promoteRecord struct {
+	ordered      bool
+	orderedFirst time.Duration
+	orderedAt    time.Duration
+	// result is the newest successful answer, or nil.
+	result *Promoted
+}
+
+func (m *Machine) reportSeal(g *group, gh model.GroupHead) {
+	m.report(ReportSealed, g.id, string(gh.Seal.Candidate))
+}
+
+// decideSeal seals an open group whose primary is lost, or that is to be
+// switched.
+func (m *Machine) decideSeal(g *group, gh model.GroupHead, changes *edits) {
+	m.noteDeposed(g, gh)
+	if !m.member.registered || m.member.finished {
+		return
+	}
+	if g.lost {
+		m.decideLost(g, gh, changes)
+		return
+	}
+	m.decideSwitchSeal(g, gh, changes)
+}
+
+func (m *Machine) decideLost(g *group, gh model.GroupHead, changes *edits) {
+	stagger := time.Duration(m.rank("seal/"+string(g.id), "")) * m.cfg.SealStagger
+	candidate := m.best(g, gh, "")
+	if candidate == nil || m.now-g.lostSince < stagger || !m.isFresh() {
+		return
+	}
+	m.seal(gh, candidate.spec.ID, gh.Generation+1, false, changes)
+}
+
+func (m *Machine) seal(gh model.GroupHead, candidate model.UpstreamID, next model.Generation, planned bool, changes *edits) {
+	content := model.Seal{Next: next, Candidate: candidate, By: m.self, Planned: planned}
+	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal = &content })
+}
+
+// decideTakeOver replaces a promoter that is suspect, unregistered or stuck.
+func (m *Machine) decideTakeOver(g *group, gh model.GroupHead, changes *edits) {
+	if !m.member.registered || m.member.finished {
+		return
+	}
+	wait := m.cfg.TakeOverStuck
+	_, registered := m.head.Member(gh.Seal.By)
+	if !registered || !m.tracker.IsHeard(m.now, gh.Seal.By) {
+		wait = m.cfg.TakeOverAfter
+	}
+	if !m.member.established {
+		wait += m.cfg.TakeOverStuck
+	}
+	wait += time.Duration(m.rank("takeover/"+string(g.id), gh.Seal.By)) * m.cfg.TakeOverStagger
+	if m.now-g.seal.contentAt < wait || !m.isFresh() {
+		return
+	}
+	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal.By = m.self })
+}
+
+// decidePromotion carries on the replacement of which this instance is the
+// promoter.
+func (m *Machine) decidePromotion(g *group, gh model.GroupHead, changes *edits) {
+	if m.member.finished {
+		return
+	}
+	m.askToStop(g, gh)
+	if !m.isStopped(g) {
+		return
+	}
+	if gh.Seal.Candidate == gh.Primary {
+		m.resume(g, gh, changes)
+		return
+	}
+	if g.promote.result != nil && g.promote.result.Upstream == gh.Seal.Candidate {
+		m.startNext(gh, *g.promote.result, changes)
+		return
+	}
+	m.promoteCandidate(g, gh, changes)
+}
+
+func (m *Machine) askToStop(g *group, gh model.GroupHead) {
+	if g.seal.stopped || g.seal.stopSentAt != 0 && m.now-g.seal.stopSentAt < m.cfg.ResendInterval {
+		return
+	}
+	g.seal.stopSentAt = m.now
+	for _, member := range m.head.Members {
+		if g.seal.confirmed[member.ID] {
+			continue
+		}
+		m.send(member.ID, StopWrites{
+			Group:       g.id,
+			Generation:  gh.Generation,
+			HeadVersion: m.head.Version,
+			Planned:     gh.Seal.Planned,
+		})
+	}
+}
+
+// isStopped reports whether no permit of the sealed generation is left: every
+// member has confirmed, or every permit from before the seal has run out.
+func (m *Machine) isStopped(g *group) bool {
+	if g.seal.stopped {
+		return true
+	}
+	waited := m.member.established && m.now-g.seal.learnedAt >= m.cfg.confirmWait()
+	if !waited && !m.allConfirmed(g) && !m.cfg.Rules.SkipConfirmation {
+		return false
+	}
+	g.seal.stopped = true
+	g.seal.stoppedAt = m.now
+	m.report(ReportHoldersStopped, g.id, "")
+	return true
+}
+
+func (m *Machine) allConfirmed(g *group) bool {
+	for _, member := range m.head.Members {
+		if !g.seal.confirmed[member.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// promoteCandidate orders the promotion of the candidate, or names another one.
+func (m *Machine) promoteCandidate(g *group, gh model.GroupHead, changes *edits) {
+	candidate := g.upstream(gh.Seal.Candidate)
+	if !m.isFresh() {
+		return
+	}
+	if !g.promote.ordered && !m.isPromoted(gh, candidate) {
+		other := m.otherCandidate(g, gh, candidate)
+		if other != "" {
+			m.seal(gh, other, gh.Seal.Next+1, false, changes)
+			return
+		}
+		if gh.Seal.Planned && !m.hasCaughtUp(g, gh, candidate) {
+			return
+		}
+	}
+	if m.isUnanswered(g, candidate) {
+		other := m.best(g, gh, gh.Seal.Candidate)
+		if other != nil {
+			m.seal(gh, other.spec.ID, gh.Seal.Next+1, false, changes)
+			return
+		}
+	}
+	m.order(g, gh)
+}
+
+// otherCandidate returns the upstream that is to start the next generation in
+// place of candidate, before anything is ordered; empty keeps candidate.
+func (m *Machine) otherCandidate(g *group, gh model.GroupHead, candidate *upstream) model.UpstreamID {
+	primary := g.upstream(gh.Primary)
+	healthy := primary != nil && m.isProbeFresh(primary) && m.isServing(g, primary)
+	if gh.Seal.Planned {
+		return m.otherTarget(g, gh, candidate, healthy)
+	}
+	if healthy && primary.probe.StartedAt >= g.seal.stoppedAt {
+		return gh.Primary
+	}
+	best := m.best(g, gh, "")
+	if best == nil {
+		return ""
+	}
+	if !m.isReplica(gh, candidate) || best.probe.LSN > candidate.probe.LSN {
+		return best.spec.ID
+	}
+	return ""
+}
+
+// isUnanswered reports whether the order to promote has stayed without success
+// for PromoteWait from a candidate that is lost, or for twice as long.
+func (m *Machine) isUnanswered(g *group, candidate *upstream) bool {
+	if !g.promote.ordered {
+		return false
+	}
+	waited := m.now - g.promote.orderedFirst
+	lost := candidate == nil || m.isLost(candidate)
+	return lost && waited >= m.cfg.PromoteWait || waited >= 2*m.cfg.PromoteWait
+}
+
+func (m *Machine) order(g *group, gh model.GroupHead) {
+	if g.promote.ordered && m.now-g.promote.orderedAt < m.cfg.ResendInterval {
+		return
+	}
+	if !g.promote.ordered {
+		g.promote.orderedFirst = m.now
+	}
+	g.promote.ordered = true
+	g.promote.orderedAt = m.now
+	m.emit(Promote{Group: g.id, Upstream: gh.Seal.Candidate, Next: gh.Seal.Next})
+}
+
+func (m *Machine) promoted(event Promoted) {
+	g := m.groupByID[event.Group]
+	if g == nil || m.head == nil || !event.OK {
+		return
+	}
+	gh, found := m.head.Group(g.id)
+	if !found || gh.Seal == nil || gh.Seal.Candidate != event.Upstream || event.Timeline <= gh.Timeline {
+		return
+	}
+	g.promote.result = &event
+	m.report(ReportPromoted, g.id, string(event.Upstream))
+}
+
+// startNext writes the next generation on the promoted candidate.
+func (m *Machine) startNext(gh model.GroupHead, result Promoted, changes *edits) {
+	m.startOn(gh, result.Timeline, result.StartLSN, changes)
+}
+
+// resume writes the next generation on the old primary, which is healthy. The
+// position is read after the last permit was gone, so every acknowledged write
+// lies below it.
+func (m *Machine) resume(g *group, gh model.GroupHead, changes *edits) {
+	primary := g.upstream(gh.Primary)
+	if primary == nil {
+		return
+	}
+	if m.isLost(primary) {
+		best := m.best(g, gh, "")
+		if best != nil {
+			m.seal(gh, best.spec.ID, gh.Seal.Next+1, false, changes)
+		}
+		return
+	}
+	if !m.isProbeFresh(primary) || !m.isServing(g, primary) || primary.probe.StartedAt < g.seal.stoppedAt {
+		return
+	}
+	m.startOn(gh, gh.Timeline, primary.probe.LSN, changes)
+}
+
+func (m *Machine) startOn(gh model.GroupHead, timeline uint32, start model.LSN, changes *edits) {
+	changes.addGroup(gh.ID, func(group *model.GroupHead) {
+		group.Generation = gh.Seal.Next
+		group.Primary = gh.Seal.Candidate
+		group.StartLSN = start
+		group.Timeline = timeline
+		group.Seal = nil
+	})
+}
--- /dev/null
+++ b/pkg/state/failover/switch.go
@@ -0,0 +1,95 @@
+package failover
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// plannedSwitch is an operator's order that has not led to a seal yet.
+type plannedSwitch struct {
+	asked  bool
+	target model.UpstreamID
+	at     time.Duration
+}
+
+func (m *Machine) switchAsked(event SwitchAsked) {
+	g := m.groupByID[event.Group]
+	if g == nil || m.head == nil {
+		m.report(ReportSwitchRefused, event.Group, "the group is not known")
+		return
+	}
+	refusal := m.refuseSwitch(g, event.Target)
+	if refusal != "" {
+		m.report(ReportSwitchRefused, event.Group, refusal)
+		return
+	}
+	g.planned = plannedSwitch{asked: true, target: event.Target, at: m.now}
+}
+
+// refuseSwitch returns why a switch to target cannot start, or nothing.
+func (m *Machine) refuseSwitch(g *group, target model.UpstreamID) string {
+	gh, found := m.head.Group(g.id)
+	switch {
+	case !found:
+		return "the group has no primary yet"
+	case gh.Seal != nil:
+		return "the primary is being replaced"
+	case gh.Primary == target:
+		return "the target is the primary"
+	case !m.isPlatformReachable():
+		return "the platform does not answer"
+	case g.upstream(target) == nil:
+		return "the group has no such upstream"
+	case !m.isUsableReplica(g, gh, g.upstream(target)):
+		return "the target does not follow the primary"
+	}
+	return ""
+}
+
+// decideSwitchSeal seals the group for a planned switch.
+func (m *Machine) decideSwitchSeal(g *group, gh model.GroupHead, changes *edits) {
+	if !g.planned.asked {
+		return
+	}
+	if m.now-g.planned.at >= m.cfg.SwitchWait {
+		g.planned = plannedSwitch{}
+		m.report(ReportSwitchRefused, g.id, "the seal could not be written in time")
+		return
+	}
+	if m.isFresh() {
+		m.seal(gh, g.planned.target, gh.Generation+1, true, changes)
+	}
+}
+
+// hasCaughtUp reports whether target has replayed the position that the primary
+// had after the last permit was gone.
+func (m *Machine) hasCaughtUp(g *group, gh model.GroupHead, target *upstream) bool {
+	primary := g.upstream(gh.Primary)
+	if primary == nil || !m.isProbeFresh(primary) || !m.isServing(g, primary) {
+		return false
+	}
+	if primary.probe.StartedAt < g.seal.stoppedAt {
+		return false
+	}
+	return m.isReplica(gh, target) && target.probe.LSN >= primary.probe.LSN
+}
+
+// otherTarget returns the upstream that is to go on in place of a switch's
+// target; empty keeps the target. A primary that fails turns the switch into a
+// failover; a target that is late leaves the primary in place.
+func (m *Machine) otherTarget(g *group, gh model.GroupHead, target *upstream, healthy bool) model.UpstreamID {
+	if g.lost {
+		best := m.best(g, gh, "")
+		if best != nil {
+			return best.spec.ID
+		}
+		return ""
+	}
+	late := m.now-g.seal.learnedAt >= m.cfg.SwitchWait
+	if late && healthy && !m.hasCaughtUp(g, gh, target) {
+		m.report(ReportSwitchRefused, g.id, "the target was late")
+		return gh.Primary
+	}
+	return ""
+}
--- a/pkg/state/model/head.go
+++ b/pkg/state/model/head.go
@@ -50,6 +50,10 @@
 	// Address is the mesh address, IP:port.
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Evicted is zero, or the MembersVersion at which another member withdrew
+	// this one's right to write permits. The entry is removed once every permit
+	// from before has run out.
+	Evicted uint64 `json:"evicted,omitempty"`
 }
 
 // Group returns the state of the group named id.
@@ -61,3 +65,28 @@
 	}
 	return GroupHead{}, false
 }
+
+// Member returns the registration of the instance named id.
+func (h *Head) Member(id InstanceID) (Member, bool) {
+	for _, member := range h.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// Clone returns a copy of h that shares no slice or seal with it.
+func (h *Head) Clone() *Head {
+	copied := *h
+	copied.Groups = make([]GroupHead, len(h.Groups))
+	for i, group := range h.Groups {
+		if group.Seal != nil {
+			seal := *group.Seal
+			group.Seal = &seal
+		}
+		copied.Groups[i] = group
+	}
+	copied.Members = append([]Member(nil), h.Members...)
+	return &copied
+}
