--- a/pkg/coordination/meshlink/meshlink.go
+++ b/pkg/coordination/meshlink/meshlink.go
@@ -3,6 +3,8 @@
 package meshlink
 
 import (
+	"encoding/json"
+
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
@@ -10,36 +12,74 @@
 
 // Encode returns the envelope of a peer message, or nil for an unknown type.
 func Encode(message failover.PeerMessage) *meshpb.Envelope {
+	envelope := new(meshpb.Envelope)
 	switch m := message.(type) {
 	case failover.StopWrites:
-		return &meshpb.Envelope{Body: &meshpb.Envelope_StopWrites{StopWrites: &meshpb.StopWrites{
+		envelope.Body = &meshpb.Envelope_StopWrites{StopWrites: &meshpb.StopWrites{
 			Group:       string(m.Group),
 			Generation:  uint64(m.Generation),
 			HeadVersion: int64(m.HeadVersion),
-		}}}
+			Planned:     m.Planned,
+		}}
 	case failover.WritesStopped:
-		return &meshpb.Envelope{Body: &meshpb.Envelope_WritesStopped{WritesStopped: &meshpb.WritesStopped{
+		envelope.Body = &meshpb.Envelope_WritesStopped{WritesStopped: &meshpb.WritesStopped{
 			Group:       string(m.Group),
 			Generation:  uint64(m.Generation),
 			HeadVersion: int64(m.HeadVersion),
-		}}}
+		}}
+	case failover.Observed:
+		envelope.Body = &meshpb.Envelope_Observed{Observed: encodeObserved(m)}
+	default:
+		return encodeAgreement(message)
+	}
+	return envelope
+}
+
+// encodeAgreement encodes the messages on promises, adoption and the head row.
+func encodeAgreement(message failover.PeerMessage) *meshpb.Envelope {
+	envelope := new(meshpb.Envelope)
+	switch m := message.(type) {
 	case failover.PromiseAsked:
-		return &meshpb.Envelope{Body: &meshpb.Envelope_PromiseAsked{PromiseAsked: &meshpb.PromiseAsked{
+		envelope.Body = &meshpb.Envelope_PromiseAsked{PromiseAsked: &meshpb.PromiseAsked{
 			Round:          m.Round,
 			MembersVersion: m.MembersVersion,
 			HeadVersion:    int64(m.HeadVersion),
-		}}}
+		}}
 	case failover.PromiseGiven:
-		return &meshpb.Envelope{Body: &meshpb.Envelope_PromiseGiven{PromiseGiven: &meshpb.PromiseGiven{
+		envelope.Body = &meshpb.Envelope_PromiseGiven{PromiseGiven: &meshpb.PromiseGiven{
 			Round:          m.Round,
 			MembersVersion: m.MembersVersion,
 			HeadVersion:    int64(m.HeadVersion),
-		}}}
-	case failover.Observed:
-		return &meshpb.Envelope{Body: &meshpb.Envelope_Observed{Observed: encodeObserved(m)}}
+		}}
+	case failover.PromiseRefused:
+		envelope.Body = &meshpb.Envelope_PromiseRefused{PromiseRefused: &meshpb.PromiseRefused{
+			Round:       m.Round,
+			HeadVersion: int64(m.HeadVersion),
+		}}
+	case failover.HeadSent:
+		return encodeHead(m.Head)
+	case failover.HeadChanged:
+		changed := &meshpb.HeadChanged{Version: int64(m.Version)}
+		envelope.Body = &meshpb.Envelope_HeadChanged{HeadChanged: changed}
+	case failover.AdoptionAsked:
+		asked := &meshpb.AdoptionAsked{HeadVersion: int64(m.HeadVersion)}
+		envelope.Body = &meshpb.Envelope_AdoptionAsked{AdoptionAsked: asked}
+	case failover.AdoptionConfirmed:
+		confirmed := &meshpb.AdoptionConfirmed{HeadVersion: int64(m.HeadVersion)}
+		envelope.Body = &meshpb.Envelope_AdoptionConfirmed{AdoptionConfirmed: confirmed}
 	default:
 		return nil
 	}
+	return envelope
+}
+
+func encodeHead(head *model.Head) *meshpb.Envelope {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return nil
+	}
+	sent := &meshpb.HeadSent{Version: int64(head.Version), Head: value}
+	return &meshpb.Envelope{Body: &meshpb.Envelope_HeadSent{HeadSent: sent}}
 }
 
 func encodeObserved(m failover.Observed) *meshpb.Observed {
@@ -63,6 +103,7 @@
 			Group:       model.GroupID(body.StopWrites.GetGroup()),
 			Generation:  model.Generation(body.StopWrites.GetGeneration()),
 			HeadVersion: model.RowVersion(body.StopWrites.GetHeadVersion()),
+			Planned:     body.StopWrites.GetPlanned(),
 		}, true
 	case *meshpb.Envelope_WritesStopped:
 		return failover.WritesStopped{
@@ -70,6 +111,15 @@
 			Generation:  model.Generation(body.WritesStopped.GetGeneration()),
 			HeadVersion: model.RowVersion(body.WritesStopped.GetHeadVersion()),
 		}, true
+	case *meshpb.Envelope_Observed:
+		return decodeObserved(body.Observed), true
+	default:
+		return decodeAgreement(envelope)
+	}
+}
+
+func decodeAgreement(envelope *meshpb.Envelope) (failover.PeerMessage, bool) {
+	switch body := envelope.GetBody().(type) {
 	case *meshpb.Envelope_PromiseAsked:
 		return failover.PromiseAsked{
 			Round:          body.PromiseAsked.GetRound(),
@@ -82,13 +132,34 @@
 			MembersVersion: body.PromiseGiven.GetMembersVersion(),
 			HeadVersion:    model.RowVersion(body.PromiseGiven.GetHeadVersion()),
 		}, true
-	case *meshpb.Envelope_Observed:
-		return decodeObserved(body.Observed), true
+	case *meshpb.Envelope_PromiseRefused:
+		return failover.PromiseRefused{
+			Round:       body.PromiseRefused.GetRound(),
+			HeadVersion: model.RowVersion(body.PromiseRefused.GetHeadVersion()),
+		}, true
+	case *meshpb.Envelope_HeadSent:
+		return decodeHead(body.HeadSent)
+	case *meshpb.Envelope_HeadChanged:
+		return failover.HeadChanged{Version: model.RowVersion(body.HeadChanged.GetVersion())}, true
+	case *meshpb.Envelope_AdoptionAsked:
+		return failover.AdoptionAsked{HeadVersion: model.RowVersion(body.AdoptionAsked.GetHeadVersion())}, true
+	case *meshpb.Envelope_AdoptionConfirmed:
+		version := model.RowVersion(body.AdoptionConfirmed.GetHeadVersion())
+		return failover.AdoptionConfirmed{HeadVersion: version}, true
 	default:
 		return nil, false
 	}
 }
 
+func decodeHead(sent *meshpb.HeadSent) (failover.PeerMessage, bool) {
+	head := new(model.Head)
+	if err := json.Unmarshal(sent.GetHead(), head); err != nil {
+		return nil, false
+	}
+	head.Version = model.RowVersion(sent.GetVersion())
+	return failover.HeadSent{Head: head}, true
+}
+
 func decodeObserved(m *meshpb.Observed) failover.Observed {
 	observed := failover.Observed{Groups: make([]failover.Observation, 0, len(m.GetGroups()))}
 	for _, observation := range m.GetGroups() {
--- a/pkg/transport/mesh/mesh_test.go
+++ b/pkg/transport/mesh/mesh_test.go
@@ -32,7 +32,7 @@
 		e.received <- message
 		return
 	}
-	mark := &meshpb.Mark{Lsn: uint64(len(ask.GetSession()))}
+	mark := &meshpb.Mark{Lsn: uint64(len(ask.GetKey().GetSession()))}
 	answer := &meshpb.MarkAnswer{Mark: mark}
 	reply(&meshpb.Envelope{Body: &meshpb.Envelope_MarkAnswer{MarkAnswer: answer}})
 }
@@ -64,7 +64,7 @@
 }
 
 func askOf(session string) *meshpb.Envelope {
-	return &meshpb.Envelope{Body: &meshpb.Envelope_MarkAsk{MarkAsk: &meshpb.MarkAsk{Session: session}}}
+	return &meshpb.Envelope{Body: &meshpb.Envelope_MarkAsk{MarkAsk: &meshpb.MarkAsk{Key: &meshpb.MarkKey{Session: session}}}}
 }
 
 var _ = Describe("Node", func() {
