Ask replicas whom they stream from, and let the promotion tell where recovery ended

A replica on the right timeline may still follow another upstream that started the same timeline, so the probe reads pg_stat_wal_receiver. Promote is idempotent: it asks first whether the upstream still recovers, and takes the start of the generation from pg_last_wal_replay_lsn, which PostgreSQL keeps at the end of recovery. The stand-in answers both likewise.

--- a/pkg/transport/pgprobe/pgprobe.go
+++ b/pkg/transport/pgprobe/pgprobe.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"sync"
 
@@ -21,6 +22,7 @@
 	queryTimeline   = "SELECT timeline_id FROM pg_control_checkpoint()"
 	queryCurrent    = "SELECT pg_current_wal_lsn()"
 	queryReplayed   = "SELECT pg_last_wal_replay_lsn()"
+	queryReceiver   = "SELECT sender_host, sender_port FROM pg_stat_wal_receiver"
 	queryPromote    = "SELECT pg_promote()"
 	valueTrue       = "t"
 )
@@ -32,6 +34,9 @@
 	// LSN is the current position of a primary, or the replayed position of a
 	// replica.
 	LSN model.LSN
+	// Follows is the address of the server that a replica streams from, or
+	// invalid if there is none.
+	Follows netip.AddrPort
 }
 
 // Prober keeps one connection to each upstream that it probes. It is safe for
@@ -62,8 +67,10 @@
 	return sample, nil
 }
 
-// Promote makes upstream a primary and returns its state afterwards. An error
-// leaves open whether the promotion happened.
+// Promote makes upstream a primary and returns its state afterwards, with the
+// position at which its recovery ended. It is idempotent: an upstream that was
+// promoted before answers likewise. An error leaves open whether the promotion
+// happened.
 func (p *Prober) Promote(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (Sample, error) {
 	conn, err := p.take(ctx, group, upstream)
 	if err != nil {
@@ -79,14 +86,32 @@
 }
 
 func promote(ctx context.Context, conn *pgconn.PgConn) (Sample, error) {
-	promoted, err := value(ctx, conn, queryPromote)
+	before, err := value(ctx, conn, queryRecovering)
 	if err != nil {
 		return Sample{}, err
 	}
+	if before == valueTrue {
+		if err := orderPromotion(ctx, conn); err != nil {
+			return Sample{}, err
+		}
+	}
+	sample, err := ask(ctx, conn)
+	if err != nil {
+		return Sample{}, err
+	}
+	sample.LSN, err = position(ctx, conn, queryReplayed)
+	return sample, err
+}
+
+func orderPromotion(ctx context.Context, conn *pgconn.PgConn) error {
+	promoted, err := value(ctx, conn, queryPromote)
+	if err != nil {
+		return err
+	}
 	if promoted != valueTrue {
-		return Sample{}, errors.New("promotion did not complete")
+		return errors.New("promotion did not complete")
 	}
-	return ask(ctx, conn)
+	return nil
 }
 
 func ask(ctx context.Context, conn *pgconn.PgConn) (Sample, error) {
@@ -94,24 +119,34 @@
 	if err != nil {
 		return Sample{}, err
 	}
-	timelineText, err := value(ctx, conn, queryTimeline)
-	if err != nil {
+	sample := Sample{Recovering: recovering == valueTrue}
+	if sample.Timeline, err = timeline(ctx, conn); err != nil {
 		return Sample{}, err
 	}
-	timeline, err := strconv.ParseUint(timelineText, 10, 32)
-	if err != nil {
-		return Sample{}, errors.Wrap(err, "timeline")
+	if !sample.Recovering {
+		sample.LSN, err = position(ctx, conn, queryCurrent)
+		return sample, err
 	}
-	sample := Sample{Recovering: recovering == valueTrue, Timeline: uint32(timeline)}
-	sample.LSN, err = position(ctx, conn, sample.Recovering)
+	if sample.Follows, err = receiver(ctx, conn); err != nil {
+		return Sample{}, err
+	}
+	sample.LSN, err = position(ctx, conn, queryReplayed)
 	return sample, err
 }
 
-func position(ctx context.Context, conn *pgconn.PgConn, recovering bool) (model.LSN, error) {
-	query := queryCurrent
-	if recovering {
-		query = queryReplayed
+func timeline(ctx context.Context, conn *pgconn.PgConn) (uint32, error) {
+	text, err := value(ctx, conn, queryTimeline)
+	if err != nil {
+		return 0, err
 	}
+	parsed, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0, errors.Wrap(err, "timeline")
+	}
+	return uint32(parsed), nil
+}
+
+func position(ctx context.Context, conn *pgconn.PgConn, query string) (model.LSN, error) {
 	text, err := value(ctx, conn, query)
 	if err != nil {
 		return 0, err
@@ -119,16 +154,48 @@
 	return model.ParseLSN(text)
 }
 
+// receiver returns the address that a replica streams from, or an invalid one
+// while it streams from none.
+func receiver(ctx context.Context, conn *pgconn.PgConn) (netip.AddrPort, error) {
+	rows, err := query(ctx, conn, queryReceiver)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	if len(rows) != 1 || len(rows[0]) != 2 {
+		return netip.AddrPort{}, nil
+	}
+	host, err := netip.ParseAddr(string(rows[0][0]))
+	if err != nil {
+		return netip.AddrPort{}, nil
+	}
+	port, err := strconv.ParseUint(string(rows[0][1]), 10, 16)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "sender port")
+	}
+	return netip.AddrPortFrom(host, uint16(port)), nil
+}
+
 // value runs a statement that returns one value.
-func value(ctx context.Context, conn *pgconn.PgConn, query string) (string, error) {
-	results, err := conn.Exec(ctx, query).ReadAll()
+func value(ctx context.Context, conn *pgconn.PgConn, statement string) (string, error) {
+	rows, err := query(ctx, conn, statement)
+	if err != nil {
+		return "", err
+	}
+	if len(rows) != 1 || len(rows[0]) != 1 {
+		return "", errors.Errorf("%s: not one value", statement)
+	}
+	return string(rows[0][0]), nil
+}
+
+func query(ctx context.Context, conn *pgconn.PgConn, statement string) ([][][]byte, error) {
+	results, err := conn.Exec(ctx, statement).ReadAll()
 	if err != nil {
-		return "", errors.Wrap(err, query)
+		return nil, errors.Wrap(err, statement)
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
-		return "", errors.Errorf("%s: not one value", query)
+	if len(results) != 1 {
+		return nil, errors.Errorf("%s: not one result", statement)
 	}
-	return string(results[0].Rows[0][0]), nil
+	return results[0].Rows, nil
 }
 
 // take returns the idle connection to upstream, or opens one.
--- a/testbench/upstreamd/exec_read.go
+++ b/testbench/upstreamd/exec_read.go
@@ -45,8 +45,11 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedColumn, "column %q does not exist", string(name))
 }
 
-// Field returns a field of pg_control_checkpoint().
+// Field returns a field of a function or view with one row.
 func (r *rowEnv) Field(function, field string) (sql.Value, error) {
+	if function == sql.ViewWALReceiver {
+		return r.exec.node.receiverField(field)
+	}
 	if function != "pg_control_checkpoint" {
 		return sql.Value{}, sql.Errorf(sql.CodeUndefinedFunction, "function %s() has no field %q", function, field)
 	}
@@ -124,11 +127,33 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedFunction, "function %s() does not exist", name)
 }
 
+// replicaPosition returns the position of a replica. A primary that was
+// promoted keeps the position at which its recovery ended.
 func (n *node) replicaPosition(count int) sql.Value {
-	if n.primary {
+	if !n.primary {
+		return sql.Value{Type: sql.TypeLSN, Text: n.position(count).String()}
+	}
+	if n.recoveredAt == 0 {
 		return sql.Null(sql.TypeLSN)
 	}
-	return sql.Value{Type: sql.TypeLSN, Text: n.position(count).String()}
+	return sql.Value{Type: sql.TypeLSN, Text: n.recoveredAt.String()}
+}
+
+// receiverField returns a field of the view of the connection to the primary.
+func (n *node) receiverField(field string) (sql.Value, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	source := n.group.sender(n)
+	switch {
+	case field != "sender_host" && field != "sender_port":
+		return sql.Value{}, sql.Errorf(sql.CodeUndefinedColumn, "column %q does not exist", field)
+	case source == nil:
+		return sql.Null(sql.TypeText), nil
+	case field == "sender_host":
+		return sql.Text(source.address.Addr().String()), nil
+	default:
+		return sql.Int4(int64(source.address.Port())), nil
+	}
 }
 
 func (e *executor) selectRows(ctx context.Context, query sql.Select) (result, error) {
--- a/testbench/upstreamd/group.go
+++ b/testbench/upstreamd/group.go
@@ -71,14 +71,28 @@
 	}
 }
 
+// sender returns the node that n streams from, or nil.
+func (g *group) sender(n *node) *node {
+	source := g.source()
+	if source == nil || n.primary || n.cut || n.diverged(source) {
+		return nil
+	}
+	return source
+}
+
+// diverged reports whether n has records that source does not have.
+func (n *node) diverged(source *node) bool {
+	have := len(n.wal)
+	return have > len(source.wal) || have > 0 && n.wal[have-1] != source.wal[have-1]
+}
+
 // receive takes the records that have been on their way for the lag. A log
 // that diverged from the source's receives nothing.
 func (n *node) receive(source *node, now time.Time) {
-	have := len(n.wal)
-	if have > len(source.wal) || have > 0 && n.wal[have-1] != source.wal[have-1] {
+	if n.diverged(source) {
 		return
 	}
-	for _, next := range source.wal[have:] {
+	for _, next := range source.wal[len(n.wal):] {
 		if next.at.Add(n.lag).After(now) {
 			return
 		}
--- a/testbench/upstreamd/node.go
+++ b/testbench/upstreamd/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,9 @@
 	primary  bool
 	timeline uint32
 	wal      []*record
+	// recoveredAt is the position at which a promotion ended recovery; zero
+	// for a primary that was never a replica.
+	recoveredAt model.LSN
 	// replayed is the number of log records that table holds.
 	replayed int
 	table    map[string]string
@@ -62,6 +66,7 @@
 	// nothing.
 	stuck, cut bool
 	down       bool
+	address    netip.AddrPort
 	// thawed is closed unless the node is frozen.
 	thawed chan struct{}
 	// alive is cancelled when the node is killed.
@@ -161,6 +166,7 @@
 	n.group.replicate()
 	n.stuck = false
 	n.replay()
+	n.recoveredAt = n.position(n.replayed)
 	n.primary = true
 	n.timeline++
 	n.appendRecord(changeBytes, nil)
--- a/testbench/upstreamd/server.go
+++ b/testbench/upstreamd/server.go
@@ -99,6 +99,7 @@
 	n.spec.Port = listener.Addr().(*net.TCPAddr).Port
 	alive, kill := context.WithCancel(context.Background())
 	n.mu.Lock()
+	n.address = listener.Addr().(*net.TCPAddr).AddrPort()
 	n.alive, n.kill = alive, kill
 	n.down = false
 	n.mu.Unlock()
--- a/testbench/upstreamd/sql/ast.go
+++ b/testbench/upstreamd/sql/ast.go
@@ -152,3 +152,7 @@
 func (Case) isExpr()    {}
 func (Binary) isExpr()  {}
 func (Cast) isExpr()    {}
+
+// ViewWALReceiver is PostgreSQL's view of the connection to the primary. It
+// has one row here; its fields are null where there is no connection.
+const ViewWALReceiver = "pg_stat_wal_receiver"
--- a/testbench/upstreamd/sql/parser_select.go
+++ b/testbench/upstreamd/sql/parser_select.go
@@ -47,6 +47,11 @@
 		query.FromRecords = true
 		return p.table()
 	}
+	if p.acceptWord(ViewWALReceiver) {
+		query.From = &Call{Name: ViewWALReceiver}
+		p.alias()
+		return nil
+	}
 	expr, err := p.operand()
 	if err != nil {
 		return err
