--- a/pkg/coordination/meshlink/meshlink_test.go
+++ b/pkg/protocol/meshlink/meshlink_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
-	"gypsumdock/pkg/coordination/meshlink"
+	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
