--- a/pkg/coordination/platform/platform.go
+++ b/pkg/coordination/platform/platform.go
@@ -6,34 +6,36 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"gypsumdock/pkg/state/model"
 )
 
 // Row is a row of the table.
 type Row struct {
-	Key     string
-	Version model.RowVersion
-	Value   []byte
+	Key     string           `json:"key"`
+	Version model.RowVersion `json:"version"`
+	Value   []byte           `json:"value"`
 	// OpID is the operation ID of the row's last write.
-	OpID string
+	OpID string `json:"op_id"`
 }
 
 // Write is one conditional write of a commit.
 type Write struct {
-	Key string
+	Key string `json:"key"`
 	// IfVersion is the version that the row must have; zero means that the
 	// row must not exist.
-	IfVersion model.RowVersion
-	Value     []byte
-	Delete    bool
+	IfVersion model.RowVersion `json:"if_version"`
+	Value     []byte           `json:"value,omitempty"`
+	Delete    bool             `json:"delete,omitempty"`
 }
 
 // CommitResult is the answer to a commit.
 type CommitResult struct {
-	Applied bool
+	Applied bool `json:"applied"`
 	// Rows holds the rows in the order of the writes, as written or, where
 	// the commit was not applied, as they are. A row that does not exist is nil.
-	Rows []*Row
+	Rows []*Row `json:"rows"`
 }
 
 // Table is the transactional table service. Any error from Commit leaves its
@@ -48,11 +50,14 @@
 	Commit(ctx context.Context, opID string, writes []Write) (CommitResult, error)
 }
 
+// ErrNoObject means that the object store has no object of the digest.
+var ErrNoObject = errors.New("no such object")
+
 // Objects is the object store, keyed by content digest.
 type Objects interface {
 	// Put stores data and returns its lower-case hexadecimal SHA-256 digest.
 	Put(ctx context.Context, data []byte) (string, error)
-	// Get returns the object, verified against its digest.
+	// Get returns the object, verified against its digest, or ErrNoObject.
 	Get(ctx context.Context, digest string) ([]byte, error)
 }
 
@@ -67,10 +72,10 @@
 
 // Instance is an entry of the platform's list, which lags.
 type Instance struct {
-	ID         model.InstanceID
-	Address    string
-	DataCentre model.DataCentre
-	State      InstanceState
+	ID         model.InstanceID `json:"id"`
+	Address    string           `json:"address"`
+	DataCentre model.DataCentre `json:"data_centre"`
+	State      InstanceState    `json:"state"`
 }
 
 // Instances is the platform's list of instances.
