--- a/pkg/state/bundle/bundle.go
+++ b/pkg/state/bundle/bundle.go
@@ -23,9 +23,12 @@
 	// Database is the database name that callers connect to.
 	Database string `json:"database"`
 	// User and Password log in to the upstreams.
-	User      string     `json:"user"`
-	Password  string     `json:"password"`
-	Upstreams []Upstream `json:"upstreams"`
+	User     string `json:"user"`
+	Password string `json:"password"`
+	// Primary is the upstream that starts as primary when the group is new;
+	// the first of Upstreams when empty.
+	Primary   model.UpstreamID `json:"primary,omitempty"`
+	Upstreams []Upstream       `json:"upstreams"`
 }
 
 // Upstream is one database server.
--- a/pkg/tomlbind/document.go
+++ b/pkg/tomlbind/document.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -91,3 +92,14 @@
 func indexKey(path string, index int) string {
 	return fmt.Sprintf("%s[%d]", path, index)
 }
+
+// Has reports whether the file gives the key.
+func (d *Document) Has(key string) bool {
+	_, ok := d.lines[key]
+	return ok
+}
+
+// Faulty reports whether a problem of the key was found already.
+func (d *Document) Faulty(key string) bool {
+	return slices.ContainsFunc(d.Problems, func(p Problem) bool { return p.Key == key })
+}
