--- /dev/null
+++ b/pkg/coordination/control/ticks.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gypsumdock/pkg/state/adoption"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+// ticks holds when the periodic duties were last done.
+type ticks struct {
+	status    time.Duration
+	instances time.Duration
+	adoption  time.Duration
+	head      time.Duration
+}
+
+// due reports whether interval has passed since last, and moves last on.
+func due(now, interval time.Duration, last *time.Duration) bool {
+	if now-*last < interval {
+		return false
+	}
+	*last = now
+	return true
+}
+
+// tick does the periodic duties.
+func (l *Loop) tick() {
+	now := l.now()
+	l.step(failover.Tick{})
+	l.drained()
+	if due(now, adoption.TickInterval, &l.ticks.adoption) {
+		l.adopt(adoption.Tick{})
+	}
+	if due(now, statusInterval, &l.ticks.status) {
+		l.announce()
+	}
+	if due(now, instancesInterval, &l.ticks.instances) {
+		l.tasks.Go(l.listInstances)
+	}
+	if l.view.Head == nil && due(now, statusInterval, &l.ticks.head) {
+		l.tasks.Go(l.askPeersForHead)
+	}
+	l.passMarks()
+}
+
+// drained tells the failover machine of groups without writes in flight.
+func (l *Loop) drained() {
+	for _, group := range l.view.Groups {
+		if !group.Draining || l.config.Traffic.WritesInFlight(group.ID, group.Generation) > 0 {
+			continue
+		}
+		l.step(failover.WritesDrained{Group: group.ID, Generation: group.Generation})
+	}
+}
+
+func (l *Loop) listInstances() {
+	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
+	defer cancel()
+	list, err := l.config.Platform.Instances(ctx)
+	if err != nil {
+		return
+	}
+	l.post(instancesInput{list})
+}
+
+// askPeersForHead lets a new instance serve reads while the platform is down.
+func (l *Loop) askPeersForHead() {
+	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
+	defer cancel()
+	head, err := l.config.Peers.FetchHead(ctx)
+	if err != nil {
+		return
+	}
+	l.post(failoverInput{failover.PeerReceived{Message: failover.HeadSent{Head: head}}})
+}
+
+// passMarks tells the sessions which marks need not be kept any more.
+func (l *Loop) passMarks() {
+	_, current := l.adoption.InForce()
+	if current == nil {
+		return
+	}
+	for i := range current.Groups {
+		group := &current.Groups[i]
+		if at, known := l.samples.passed(group, &l.view); known {
+			l.config.Sessions.Passed(group.ID, at)
+		}
+	}
+}
+
+func groupIDs(current *bundle.Bundle) []model.GroupID {
+	ids := make([]model.GroupID, 0, len(current.Groups))
+	for _, group := range current.Groups {
+		ids = append(ids, group.ID)
+	}
+	return ids
+}
