--- a/pkg/coordination/traffic/traffic.go
+++ b/pkg/coordination/traffic/traffic.go
@@ -24,6 +24,10 @@
 	// ReadOnly is true when the protocol layer knows that the unit writes
 	// nothing.
 	ReadOnly bool
+	// Attempt counts the earlier tries of the same unit by the path: those that
+	// were not run, and reads whose upstream failed before any of the answer
+	// was given. The engine holds the retry budget and refuses by it.
+	Attempt int
 	// Arrived is when the unit's first byte was read.
 	Arrived time.Time
 }
--- /dev/null
+++ b/pkg/protocol/pgwire/functions.go
@@ -0,0 +1,46 @@
+package pgwire
+
+// pureFunctions are built-in functions, and keywords that may stand before a
+// parenthesis, which neither write nor change the state of the session.
+var pureFunctions = newWordSet(
+	"abs", "array_agg", "array_length", "avg", "bool_and", "bool_or", "btrim", "cardinality", "cast", "ceil",
+	"ceiling", "char_length", "coalesce", "concat", "count", "date_part", "date_trunc", "dense_rank", "every", "exists",
+	"extract", "first_value", "floor", "format", "greatest", "jsonb_agg", "json_agg", "jsonb_build_object",
+	"json_build_object", "lag", "last_value", "lead", "least", "left", "length", "lower", "ltrim", "max", "md5", "min",
+	"mod", "now", "nullif", "octet_length", "overlay", "position", "power", "rank", "replace", "right", "round",
+	"row", "row_number", "rtrim", "sign", "split_part", "sqrt", "statement_timestamp", "stddev", "string_agg", "strpos",
+	"substring", "sum", "to_char", "to_date", "to_number", "to_timestamp", "trim", "trunc", "unnest", "upper", "variance",
+	"version", "clock_timestamp", "current_date", "current_time", "current_timestamp", "localtime", "localtimestamp",
+
+	"all", "and", "any", "array", "as", "between", "by", "case", "conflict", "cube", "distinct", "else", "except",
+	"filter", "from", "group", "grouping", "having", "ilike", "in", "intersect", "is", "join", "lateral", "like", "limit",
+	"not", "offset", "on", "or", "order", "over", "partition", "returning", "rollup", "select", "set", "sets", "some",
+	"then", "union", "using", "values", "when", "where", "with", "within",
+
+	"bit", "char", "character", "decimal", "float", "interval", "numeric", "time", "timestamp", "timestamptz", "varchar",
+)
+
+// writingWords make a SELECT one that is not known to be read-only.
+var writingWords = newWordSet(
+	"into", "for", "insert", "update", "delete", "merge", "truncate", "call", "execute", "copy",
+)
+
+// sessionKeywords start statements that change the state of the session.
+var sessionKeywords = newWordSet(
+	"set", "reset", "listen", "unlisten", "prepare", "deallocate", "discard", "declare", "load", "do", "call",
+)
+
+type wordSet map[string]struct{}
+
+func newWordSet(words ...string) wordSet {
+	set := make(wordSet, len(words))
+	for _, word := range words {
+		set[word] = struct{}{}
+	}
+	return set
+}
+
+func (s wordSet) has(word string) bool {
+	_, found := s[word]
+	return found
+}
--- /dev/null
+++ b/pkg/transport/pgback/pools.go
@@ -0,0 +1,187 @@
+package pgback
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/verdict"
+)
+
+// Defaults of Config.
+const (
+	defaultDialTimeout   = 3 * time.Second
+	defaultMaxMessage    = 64 << 20 // bytes
+	defaultMaxStatements = 100
+)
+
+// Advice to callers whose unit of work got no connection.
+const (
+	retryAfterOpen = 500 * time.Millisecond
+	retryAfterWait = 100 * time.Millisecond
+)
+
+// Config holds the settings of Pools. Zero values take the defaults.
+type Config struct {
+	// TLS is used towards the upstreams; nil connects without.
+	TLS *tls.Config
+	// DialTimeout bounds opening a connection, with its login.
+	DialTimeout time.Duration
+	// MaxMessage bounds one message of an answer, in bytes.
+	MaxMessage int
+	// MaxStatements bounds the prepared statements of a connection.
+	MaxStatements int
+	// DefaultLimit is the limit of an upstream until SetLimit is called.
+	DefaultLimit int
+	// MinIdle is the number of idle connections that each upstream keeps ready,
+	// within its limit.
+	MinIdle int
+}
+
+func (c Config) withDefaults() Config {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.MaxMessage == 0 {
+		c.MaxMessage = defaultMaxMessage
+	}
+	if c.MaxStatements == 0 {
+		c.MaxStatements = defaultMaxStatements
+	}
+	return c
+}
+
+// Pools holds the connections to all upstreams. It is safe for concurrent use.
+type Pools struct {
+	config Config
+	dialer *dialer
+
+	mu     sync.RWMutex
+	pools  map[model.UpstreamID]*pool
+	closed bool
+}
+
+// New returns an empty set of pools.
+func New(config Config) (*Pools, error) {
+	config = config.withDefaults()
+	dialer, err := newDialer(config)
+	if err != nil {
+		return nil, err
+	}
+	return &Pools{config: config, dialer: dialer, pools: make(map[model.UpstreamID]*pool)}, nil
+}
+
+// Acquire returns a connection to the ticket's upstream, waiting until the
+// ticket's deadline or the end of ctx. A refusal is always not run. The caller
+// must release the connection.
+func (p *Pools) Acquire(ctx context.Context, t *traffic.Ticket) (Backend, *verdict.Error) {
+	want := origin{group: t.Group, upstream: t.Upstream, generation: t.Generation}
+	c, refused := p.pool(t.Upstream.ID).get(ctx, want, t.Deadline)
+	if refused != nil {
+		return nil, refused
+	}
+	return c, nil
+}
+
+// SetLimit sets the number of connections that may be open to an upstream.
+// Where more are open, idle ones are closed at once and others when they are
+// released.
+func (p *Pools) SetLimit(upstream model.UpstreamID, limit int) {
+	p.pool(upstream).setLimit(limit)
+}
+
+// Warm tells the pool of upstream what connections will be asked for, so that
+// they can be opened ahead of need.
+func (p *Pools) Warm(group *bundle.Group, upstream *bundle.Upstream, generation model.Generation) {
+	pool := p.pool(upstream.ID)
+	pool.mu.Lock()
+	pool.warm.note(origin{group: group, upstream: upstream, generation: generation})
+	pool.mu.Unlock()
+	pool.keepWarm()
+}
+
+// Close closes idle connections, and those in use as they are released.
+func (p *Pools) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, pool := range p.pools {
+		pool.shut()
+	}
+}
+
+func (p *Pools) pool(id model.UpstreamID) *pool {
+	p.mu.RLock()
+	found := p.pools[id]
+	p.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if found := p.pools[id]; found != nil {
+		return found
+	}
+	created := &pool{
+		dialer:  p.dialer,
+		minIdle: p.config.MinIdle,
+		stats:   &counters{},
+		limit:   p.config.DefaultLimit,
+		closed:  p.closed,
+	}
+	p.pools[id] = created
+	return created
+}
+
+// counters are the counts of a pool since its start.
+type counters struct {
+	opened atomic.Uint64
+	closed atomic.Uint64
+	failed atomic.Uint64
+}
+
+// Stats are the counts of one upstream's connections. Opened equals Closed
+// plus Open at any moment when none is being opened.
+type Stats struct {
+	Upstream model.UpstreamID
+	// Opened, Closed and Failed count since the start of the process.
+	Opened uint64
+	Closed uint64
+	Failed uint64
+	// Open includes connections that are being opened or closed.
+	Open    int
+	Idle    int
+	Waiting int
+	Limit   int
+}
+
+// Stats returns the counts of each upstream, in no order.
+func (p *Pools) Stats() []Stats {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	all := make([]Stats, 0, len(p.pools))
+	for id, pool := range p.pools {
+		all = append(all, pool.snapshot(id))
+	}
+	return all
+}
+
+func (p *pool) snapshot(id model.UpstreamID) Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{
+		Upstream: id,
+		Opened:   p.stats.opened.Load(),
+		Closed:   p.stats.closed.Load(),
+		Failed:   p.stats.failed.Load(),
+		Open:     p.open,
+		Idle:     len(p.idle),
+		Waiting:  len(p.waiters),
+		Limit:    p.limit,
+	}
+}
--- /dev/null
+++ b/pkg/transport/pgfront/cancel.go
@@ -0,0 +1,80 @@
+package pgfront
+
+import (
+	"context"
+	"crypto/subtle"
+	"sync"
+	"time"
+
+	"gypsumdock/pkg/transport/pgback"
+)
+
+// cancelTimeout bounds a cancel request to an upstream.
+const cancelTimeout = 2 * time.Second
+
+// running is the statement that a session has on an upstream. A cancel request
+// holds the lock until the upstream has taken it in, and the session takes the
+// lock before it goes on, so that no later statement on the connection is hit.
+type running struct {
+	mu      sync.Mutex
+	backend pgback.Backend
+	// unsure is true when a cancel request may still arrive.
+	unsure bool
+}
+
+func (r *running) set(backend pgback.Backend) {
+	r.mu.Lock()
+	r.backend = backend
+	r.mu.Unlock()
+}
+
+// clear waits for a cancel request under way and reports whether one may
+// still arrive.
+func (r *running) clear() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.backend = nil
+	unsure := r.unsure
+	r.unsure = false
+	return unsure
+}
+
+// cancel passes a request on to the upstream where a statement is running.
+func (r *running) cancel(ctx context.Context) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.backend == nil {
+		return false
+	}
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	if r.backend.Cancel(ctx) != nil {
+		r.unsure = true
+	}
+	return true
+}
+
+// Cancel cancels the running statement of the session with this key, if any,
+// and reports whether the key is of a session of this server.
+func (s *Server) Cancel(ctx context.Context, processID uint32, secret []byte) bool {
+	s.mu.Lock()
+	session := s.sessions[processID]
+	s.mu.Unlock()
+	if session == nil || subtle.ConstantTimeCompare(session.secret[:], secret) != 1 {
+		return false
+	}
+	if session.running.cancel(ctx) {
+		s.counters.cancels.Add(1)
+	}
+	return true
+}
+
+// cancel serves a cancel request of a caller, which gets no answer.
+func (s *Server) cancel(processID uint32, secret []byte) {
+	if s.Cancel(s.base, processID, secret) || s.config.ForwardCancel == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(s.base, cancelTimeout)
+	defer stop()
+	s.config.ForwardCancel(ctx, processID, secret)
+}
--- /dev/null
+++ b/pkg/transport/pgfront/statement.go
@@ -0,0 +1,56 @@
+package pgfront
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"gypsumdock/pkg/protocol/pgwire"
+)
+
+// statementPrefix starts the names of statements on upstream connections.
+const statementPrefix = "gypsumdock_"
+
+// hashLen is the number of bytes of the content hash in a statement's name.
+const hashLen = 16
+
+// statement is a prepared statement of a caller. It is immutable.
+type statement struct {
+	// upstream is the name on upstream connections: a hash of the content, or
+	// empty for the unnamed statement.
+	upstream string
+	query    string
+	types    []uint32
+	class    pgwire.Class
+}
+
+func newStatement(message *pgproto3.Parse) *statement {
+	stmt := &statement{
+		query: message.Query,
+		types: append([]uint32(nil), message.ParameterOIDs...),
+		class: pgwire.Classify(message.Query),
+	}
+	if message.Name != "" {
+		stmt.upstream = statementName(stmt.query, stmt.types)
+	}
+	return stmt
+}
+
+// statementName is the same for statements of the same content, whoever
+// prepared them.
+func statementName(query string, types []uint32) string {
+	content := make([]byte, 0, len(query)+4*len(types)+4)
+	for _, oid := range types {
+		content = binary.BigEndian.AppendUint32(content, oid)
+	}
+	content = binary.BigEndian.AppendUint32(content, uint32(len(types)))
+	content = append(content, query...)
+	sum := sha256.Sum256(content)
+	return statementPrefix + hex.EncodeToString(sum[:hashLen])
+}
+
+func (s *statement) parse() *pgproto3.Parse {
+	return &pgproto3.Parse{Name: s.upstream, Query: s.query, ParameterOIDs: s.types}
+}
--- a/pkg/verdict/sqlstate.go
+++ b/pkg/verdict/sqlstate.go
@@ -23,6 +23,8 @@
 	UnknownDatabase:  "3D000",
 	PeerLost:         "08006",
 	Cancelled:        "57014",
+
+	TransactionAborted: "25P02",
 }
 
 // stateMayHaveRun is transaction_resolution_unknown.
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -57,6 +57,7 @@
 	UnknownDatabase
 	PeerLost
 	Cancelled
+	TransactionAborted
 )
 
 // Error is a failure with its verdict. It implements error.
