--- a/testbench/upstreamd/execlog.go
+++ b/testbench/upstreamd/execlog.go
@@ -39,8 +39,8 @@
 	Value string `json:"value,omitempty"`
 	// Deleted is true for the commit of a deletion.
 	Deleted bool `json:"deleted,omitempty"`
-	// Backend is the connection and Transaction the transaction within the
-	// process; Transaction is 0 for a statement on its own.
+	// Backend is the connection within the process, and Transaction the
+	// transaction within the group; a statement on its own has one too.
 	Backend     uint32 `json:"backend"`
 	Transaction uint64 `json:"transaction,omitempty"`
 }
