--- a/pkg/state/marks/doc.go
+++ b/pkg/state/marks/doc.go
@@ -9,22 +9,35 @@
 //
 // A change from V to V+1 takes effect as follows. Let L be the permit lifetime
 // with the allowance for clock drift.
+//
 //   - A reader asks the home of the newest version that it has confirmed.
+//
 //   - A writer stores at the home of its newest version and, until L after it
 //     learned of that version, also at the home of each earlier version whose
-//     users may still be reading there. A home that has itself learned of the
-//     newer version refuses; that counts as stored, since it serves no more
-//     reads of the older one.
+//     users may still be reading there. An earlier home that has itself
+//     learned of the newer version refuses; that counts as stored, since it
+//     serves no more reads of the older one. The same answer of the present
+//     home does not: the writer has to learn of the newer version first.
+//
 //   - A home answers unknown for a session that it did not have before, until
 //     L after it learned of the version and until it has then sampled the
 //     primary's position. That position is from then on the floor of every
 //     such session: the writes whose marks went to the earlier home are below.
 //
+//   - A home also waits until every member of the version has handed over the
+//     marks of lost writes, as of the head row in which the home saw the
+//     floor's generation.
+//
 // Where a mark cannot be stored, the write is acknowledged once every replica
 // in use has applied it, and otherwise its outcome is reported as not known.
 // A mark is dropped once every replica in use has passed it.
 //
-// View is the side of readers and writers, Home the side that stores. Both are
+// A change of primary can lose acknowledged writes: those whose mark is above
+// the position at which the next generation starts. The home and, in its
+// Ledger, the instance that acknowledged the write both notice it; the session
+// is told on its next read, and the mark is cleared when it was.
+//
+// View is the side of readers and writers, Home the side that stores. All are
 // deterministic and owned by one goroutine each. Times are measured from the
 // start of the process.
 package marks
--- /dev/null
+++ b/pkg/state/marks/epoch.go
@@ -0,0 +1,169 @@
+package marks
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// maxEpochs bounds the versions kept while their floors are outstanding.
+const maxEpochs = 8
+
+// homeEpoch is a version of the members, as a home knows it.
+type homeEpoch struct {
+	set *Set
+	// settledAt is when the users of earlier versions are gone.
+	settledAt time.Duration
+	// floors holds the groups sampled at or after settledAt.
+	floors map[model.GroupID]floorState
+}
+
+// floorState is the progress of one group in an epoch.
+type floorState struct {
+	// row is the head row as of which marks of lost writes must have been
+	// handed over.
+	row model.RowVersion
+	// settled is true once they have.
+	settled bool
+}
+
+func (h *Home) setMembers(now time.Duration, set *Set) {
+	if len(h.epochs) > 0 {
+		last := h.epochs[len(h.epochs)-1].set.version
+		if set.version <= last {
+			return
+		}
+		if set.version > last+1 {
+			h.epochs = nil
+		}
+	}
+	settledAt := now + h.config.Lease.window()
+	if h.config.Rules.NoWindow {
+		settledAt = now
+	}
+	h.epochs = append(h.epochs, homeEpoch{
+		set:       set,
+		settledAt: settledAt,
+		floors:    make(map[model.GroupID]floorState),
+	})
+	if len(h.epochs) > maxEpochs {
+		h.epochs = h.epochs[1:]
+	}
+	h.forgetMembers(set)
+}
+
+// forgetMembers drops what is kept of instances that are gone.
+func (h *Home) forgetMembers(set *Set) {
+	kept := make(map[model.InstanceID]model.RowVersion, len(set.members))
+	for _, member := range set.members {
+		if row, found := h.handedOver[member]; found {
+			kept[member] = row
+		}
+	}
+	h.handedOver = kept
+}
+
+// HandedOver says that a member, this instance included, has no more marks of
+// lost writes to hand over, neither from its Home nor from its Ledger, as of
+// the given version of the head row.
+func (h *Home) HandedOver(from model.InstanceID, row model.RowVersion) {
+	h.handedOver[from] = max(row, h.handedOver[from])
+	h.settle()
+}
+
+// SetFloor takes a proven sample of the primary's position: the instance held
+// the group's permit when the answer came. askedAt is the time before the
+// question was sent.
+func (h *Home) SetFloor(askedAt time.Duration, group model.GroupID, at model.Mark) {
+	raised := false
+	for i := range h.epochs {
+		epoch := &h.epochs[i]
+		if _, sampled := epoch.floors[group]; !sampled && askedAt >= epoch.settledAt {
+			epoch.floors[group] = floorState{row: h.row}
+			raised = true
+		}
+	}
+	if raised {
+		h.group(group).raiseFloor(at)
+	}
+	h.settle()
+}
+
+// NeedsFloor reports whether a sample of the group's primary, asked now, would
+// let the home answer for more sessions.
+func (h *Home) NeedsFloor(now time.Duration, group model.GroupID) bool {
+	for i := range h.epochs {
+		epoch := &h.epochs[i]
+		if _, sampled := epoch.floors[group]; !sampled && now >= epoch.settledAt {
+			return true
+		}
+	}
+	return false
+}
+
+// isSettled reports whether this home holds all marks of the session: it was
+// the session's home, without a break, since a version that is settled.
+func (h *Home) isSettled(key Key) bool {
+	for i := len(h.epochs) - 1; i >= 0; i-- {
+		epoch := &h.epochs[i]
+		if epoch.set.Home(key.Session) != h.config.Self && !h.config.Rules.NoRetire {
+			return false
+		}
+		if h.epochSettled(epoch, key.Group) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) epochSettled(epoch *homeEpoch, group model.GroupID) bool {
+	state, sampled := epoch.floors[group]
+	if !sampled {
+		return h.config.Rules.NoFloor
+	}
+	return state.settled
+}
+
+// settle notes the floors whose handovers are complete. What is settled stays
+// so when a member leaves.
+func (h *Home) settle() {
+	for i := range h.epochs {
+		epoch := &h.epochs[i]
+		for group, state := range epoch.floors {
+			state.settled = state.settled || h.allHandedOver(epoch.set, state.row)
+			epoch.floors[group] = state
+		}
+	}
+	h.prune()
+}
+
+func (h *Home) allHandedOver(set *Set, row model.RowVersion) bool {
+	if h.config.Rules.NoHandover {
+		return true
+	}
+	for _, member := range set.members {
+		if h.handedOver[member] < row {
+			return false
+		}
+	}
+	return true
+}
+
+// prune drops the versions before the newest that is settled for all groups.
+func (h *Home) prune() {
+	for i := len(h.epochs) - 1; i > 0; i-- {
+		if h.allSettled(&h.epochs[i]) {
+			h.epochs = h.epochs[i:]
+			return
+		}
+	}
+}
+
+func (h *Home) allSettled(epoch *homeEpoch) bool {
+	for id := range h.groups {
+		if !h.epochSettled(epoch, id) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/state/marks/group.go
+++ b/pkg/state/marks/group.go
@@ -13,9 +13,15 @@
 	floor model.Mark
 	marks map[model.SessionID]*list.Element
 	// order holds the entries of marks, the least recently stored first.
-	order   *list.List
-	lost    map[model.SessionID]model.Mark
-	maxLost int
+	order *list.List
+	// lost holds the marks of lost writes whose sessions were not told yet.
+	lost map[model.SessionID]model.Mark
+	// lostFloor is a floor that did not survive: any session without a mark
+	// of its own may have lost a write, and is told so once.
+	lostFloor model.Mark
+	// toldFloor holds the sessions that were told of lostFloor.
+	toldFloor map[model.SessionID]bool
+	maxLost   int
 	// overflowed counts the marks merged into floor for lack of room.
 	overflowed int
 }
@@ -34,23 +40,39 @@
 	}
 }
 
-// setGeneration takes a newer generation. A mark of an older one survived only
-// at or below the start of each later generation; where a generation was
-// missed, its start is unknown and the mark counts as lost.
+// setGeneration takes a newer generation. Marks that survived are carried over
+// to it. The others become lost, and from then on stand for the start of the
+// generation: where one was missed, it is not certain that they were lost.
 func (g *groupMarks) setGeneration(head model.GroupHead) {
 	if head.Generation <= g.head.Generation {
 		return
 	}
 	g.head = head
-	for at := g.order.Front(); at != nil; {
-		next := at.Next()
+	if g.isLost(g.floor) {
+		g.lostFloor = g.lostFloor.Max(g.floor)
+		g.toldFloor = make(map[model.SessionID]bool)
+	}
+	g.floor = g.carryOver(g.floor)
+	for at := g.order.Front(); at != nil; at = at.Next() {
 		held := at.Value.(entry)
 		if g.isLost(held.mark) {
-			g.remove(at)
 			g.addLost(held)
 		}
-		at = next
+		held.mark = g.carryOver(held.mark)
+		at.Value = held
+	}
+}
+
+// carryOver returns the mark that stands for an older one in the present
+// generation.
+func (g *groupMarks) carryOver(mark model.Mark) model.Mark {
+	switch {
+	case mark.IsZero():
+		return mark
+	case g.isLost(mark):
+		return model.Mark{Generation: g.head.Generation, LSN: g.head.StartLSN}
 	}
+	return model.Mark{Generation: g.head.Generation, LSN: mark.LSN}
 }
 
 // Survived reports whether a write with the given mark is part of the history
@@ -58,7 +80,7 @@
 // between was missed, so that nothing is known.
 func Survived(mark model.Mark, head model.GroupHead) bool {
 	switch {
-	case mark.Generation >= head.Generation:
+	case mark.IsZero() || mark.Generation >= head.Generation:
 		return true
 	case mark.Generation+1 == head.Generation:
 		return mark.LSN <= head.StartLSN
@@ -77,10 +99,28 @@
 	g.lost[e.session] = e.mark.Max(known)
 }
 
+// lostMark returns the mark up to which the session must be told of a loss.
+func (g *groupMarks) lostMark(session model.SessionID) (model.Mark, bool) {
+	lost, found := g.lost[session]
+	if !g.lostFloor.IsZero() && !g.toldFloor[session] {
+		return lost.Max(g.lostFloor), true
+	}
+	return lost, found
+}
+
 func (g *groupMarks) told(session model.SessionID, mark model.Mark) {
 	if lost, found := g.lost[session]; found && !mark.Before(lost) {
 		delete(g.lost, session)
 	}
+	if g.lostFloor.IsZero() || mark.Before(g.lostFloor) {
+		return
+	}
+	if len(g.toldFloor) >= g.maxLost {
+		g.lostFloor, g.toldFloor = model.Mark{}, nil
+		g.overflowed++
+		return
+	}
+	g.toldFloor[session] = true
 }
 
 func (g *groupMarks) raiseFloor(at model.Mark) { g.floor = g.floor.Max(at) }
@@ -123,8 +163,13 @@
 }
 
 // drop removes the marks that every replica in use has passed. It stops at the
-// first mark that is newer; one stored out of order waits for its turn.
+// first mark that is newer; one stored out of order waits for its turn. A
+// position of a generation that is not known yet is ignored: marks of the
+// earlier one may be lost, which the new generation's start will tell.
 func (g *groupMarks) drop(passed model.Mark) {
+	if passed.Generation > g.head.Generation {
+		return
+	}
 	for at := g.order.Front(); at != nil; at = g.order.Front() {
 		if passed.Before(at.Value.(entry).mark) {
 			break
--- a/pkg/state/marks/home.go
+++ b/pkg/state/marks/home.go
@@ -11,8 +11,9 @@
 
 // The answers to a Store.
 const (
-	// StoreRefused means that the home does not know the version yet, or is
-	// not the session's home in it. Nothing was stored.
+	// StoreRefused means that the home does not know the version or the
+	// generation yet, or is not the session's home. Nothing was stored; the
+	// home should read the head row.
 	StoreRefused StoreStatus = iota
 	// StoreDone means that the mark is stored.
 	StoreDone
@@ -66,6 +67,8 @@
 
 // Rules switches single rules off, for tests. The zero value has all on.
 type Rules struct {
+	// NoEarlier stores marks at the present home only.
+	NoEarlier bool
 	// NoWindow answers for new sessions without waiting for the users of the
 	// earlier version.
 	NoWindow bool
@@ -73,111 +76,44 @@
 	NoFloor bool
 	// NoRetire serves questions under any version.
 	NoRetire bool
+	// NoHandover answers without waiting for marks of lost writes.
+	NoHandover bool
 }
 
 // Home stores the marks of the sessions whose home this instance is.
 type Home struct {
 	config HomeConfig
+	// row is the version of the newest head row learned.
+	row model.RowVersion
 	// epochs is in ascending order of version; the last is the newest.
 	epochs []homeEpoch
 	groups map[model.GroupID]*groupMarks
-}
-
-// homeEpoch is a version of the members, as this home knows it.
-type homeEpoch struct {
-	set *Set
-	// settledAt is when the users of earlier versions are gone.
-	settledAt time.Duration
-	// floors holds the groups sampled at or after settledAt.
-	floors map[model.GroupID]bool
+	// handedOver holds, for each member, the head row as of which it has
+	// handed over the marks of lost writes.
+	handedOver map[model.InstanceID]model.RowVersion
 }
 
 // NewHome returns a home that knows no version.
 func NewHome(config HomeConfig) *Home {
-	return &Home{config: config, groups: make(map[model.GroupID]*groupMarks)}
-}
-
-// maxEpochs bounds the versions kept while their floors are outstanding.
-const maxEpochs = 8
-
-// SetMembers takes a version of the members from the head row.
-func (h *Home) SetMembers(now time.Duration, set *Set) {
-	if len(h.epochs) > 0 {
-		last := h.epochs[len(h.epochs)-1].set.version
-		if set.version <= last {
-			return
-		}
-		if set.version > last+1 {
-			h.epochs = nil
-		}
-	}
-	settledAt := now + h.config.Lease.window()
-	if h.config.Rules.NoWindow {
-		settledAt = now
-	}
-	h.epochs = append(h.epochs, homeEpoch{
-		set:       set,
-		settledAt: settledAt,
-		floors:    make(map[model.GroupID]bool),
-	})
-	if len(h.epochs) > maxEpochs {
-		h.epochs = h.epochs[1:]
-	}
-}
-
-// SetGroups takes the state of the groups from the head row. Marks of an ended
-// generation above the position at which the next one starts become lost.
-func (h *Home) SetGroups(groups []model.GroupHead) {
-	for _, head := range groups {
-		h.group(head.ID).setGeneration(head)
-	}
-}
-
-// SetFloor takes a proven sample of the primary's position: the instance held
-// the group's permit when the answer came. askedAt is the time before the
-// question was sent.
-func (h *Home) SetFloor(askedAt time.Duration, group model.GroupID, at model.Mark) {
-	settled := -1
-	for i := range h.epochs {
-		if askedAt >= h.epochs[i].settledAt && !h.epochs[i].floors[group] {
-			h.epochs[i].floors[group] = true
-			settled = i
-		}
-	}
-	if settled >= 0 {
-		h.group(group).raiseFloor(at)
-	}
-	h.prune()
-}
-
-// prune drops the versions before the newest whose groups are all sampled.
-func (h *Home) prune() {
-	for i := len(h.epochs) - 1; i > 0; i-- {
-		if h.allSampled(&h.epochs[i]) {
-			h.epochs = h.epochs[i:]
-			return
-		}
+	return &Home{
+		config:     config,
+		groups:     make(map[model.GroupID]*groupMarks),
+		handedOver: make(map[model.InstanceID]model.RowVersion),
 	}
 }
 
-func (h *Home) allSampled(epoch *homeEpoch) bool {
-	for id := range h.groups {
-		if !epoch.floors[id] {
-			return false
-		}
+// Learn takes a head row that was read. set is made of the row's members.
+// Marks of an ended generation above the position at which the next one starts
+// become lost.
+func (h *Home) Learn(now time.Duration, head *model.Head, set *Set) {
+	if head.Version <= h.row {
+		return
 	}
-	return true
-}
-
-// NeedsFloor reports whether a sample of the group's primary, asked now, would
-// let the home answer for more sessions.
-func (h *Home) NeedsFloor(now time.Duration, group model.GroupID) bool {
-	for i := range h.epochs {
-		if now >= h.epochs[i].settledAt && !h.epochs[i].floors[group] {
-			return true
-		}
+	h.row = head.Version
+	h.setMembers(now, set)
+	for _, group := range head.Groups {
+		h.group(group.ID).setGeneration(group)
 	}
-	return false
 }
 
 // Store takes the mark of a write that has committed.
@@ -186,7 +122,11 @@
 		return status
 	}
 	group := h.group(key.Group)
-	if group.isLost(mark) {
+	switch {
+	case mark.Generation > group.head.Generation:
+		// It would replace a mark of which the loss is not known yet.
+		return StoreRefused
+	case group.isLost(mark):
 		return StoreLost
 	}
 	group.store(key.Session, mark, h.config.MaxMarks)
@@ -215,30 +155,15 @@
 		return Answer{}
 	}
 	group := h.group(key.Group)
-	if lost, found := group.lost[key.Session]; found {
+	if lost, found := group.lostMark(key.Session); found {
 		return Answer{Status: AskLost, Mark: lost}
 	}
-	if !h.settled(key) {
+	if !h.isSettled(key) {
 		return Answer{}
 	}
 	return Answer{Status: AskKnown, Mark: group.answer(key.Session)}
 }
 
-// settled reports whether this home holds all marks of the session: it was the
-// session's home, without a break, since a version that has its floor.
-func (h *Home) settled(key Key) bool {
-	for i := len(h.epochs) - 1; i >= 0; i-- {
-		epoch := &h.epochs[i]
-		if epoch.set.Home(key.Session) != h.config.Self && !h.config.Rules.NoRetire {
-			return false
-		}
-		if epoch.floors[key.Group] || h.config.Rules.NoFloor {
-			return true
-		}
-	}
-	return false
-}
-
 // Told says that the session has been told of the loss of its writes up to
 // mark. Until then each question is answered with AskLost.
 func (h *Home) Told(key Key, mark model.Mark) {
--- a/pkg/state/marks/ledger.go
+++ b/pkg/state/marks/ledger.go
@@ -12,13 +12,13 @@
 type LostMark struct {
 	Key  Key
 	Mark model.Mark
-	// Home is where to send it with TakeLost; when it is taken, Told is
-	// called here.
+	// Home is where to send it with TakeLost.
 	Home Target
 }
 
 // Handover returns the marks of lost writes whose sessions have another home
-// under the newest version, ordered by key.
+// under the newest version, ordered by key. Told is called for each that the
+// other home has taken.
 func (h *Home) Handover() []LostMark {
 	if len(h.epochs) == 0 {
 		return nil
@@ -42,6 +42,8 @@
 	maxMarks int
 	maxLost  int
 	groups   map[model.GroupID]*groupMarks
+	// taken holds the lost marks that a home has taken.
+	taken map[Key]LostMark
 }
 
 // NewLedger returns an empty ledger; the bounds are per group.
@@ -51,6 +53,7 @@
 		maxMarks: maxMarks,
 		maxLost:  maxLost,
 		groups:   make(map[model.GroupID]*groupMarks),
+		taken:    make(map[Key]LostMark),
 	}
 }
 
@@ -69,12 +72,29 @@
 // Passed says that every replica in use has applied the position at.
 func (l *Ledger) Passed(group model.GroupID, at model.Mark) { l.group(group).drop(at) }
 
-// Handover returns the marks of lost writes, ordered by key, with their homes
-// in the newest set.
-func (l *Ledger) Handover(set *Set) []LostMark { return lostElsewhere(l.groups, set, "") }
+// Handover returns the marks of lost writes that the homes in the newest set
+// have not taken yet, ordered by key.
+func (l *Ledger) Handover(set *Set) []LostMark {
+	all := lostElsewhere(l.groups, set, "")
+	missing := all[:0]
+	for _, lost := range all {
+		if l.taken[lost.Key] != lost {
+			missing = append(missing, lost)
+		}
+	}
+	return missing
+}
 
-// Told says that the mark was taken by the session's home.
-func (l *Ledger) Told(key Key, mark model.Mark) { l.group(key.Group).told(key.Session, mark) }
+// Taken says that the session's home has taken the mark. The ledger keeps it,
+// since that home may be lost too.
+func (l *Ledger) Taken(lost LostMark) { l.taken[lost.Key] = lost }
+
+// Told says that the session was told of the loss of its writes up to mark.
+// The home sends it to all members.
+func (l *Ledger) Told(key Key, mark model.Mark) {
+	l.group(key.Group).told(key.Session, mark)
+	delete(l.taken, key)
+}
 
 // Size returns the number of marks and of lost marks held.
 func (l *Ledger) Size() Size { return sizeOf(l.groups) }
@@ -111,7 +131,7 @@
 	var size Size
 	for _, group := range groups {
 		size.Marks += len(group.marks)
-		size.Lost += len(group.lost)
+		size.Lost += len(group.lost) + len(group.toldFloor)
 		size.Overflowed += group.overflowed
 	}
 	return size
--- a/pkg/state/marks/set.go
+++ b/pkg/state/marks/set.go
@@ -11,23 +11,26 @@
 // safe for concurrent use.
 type Set struct {
 	version uint64
-	members int
+	homes   int
 	hash    *rendezvous.Rendezvous
+	// members includes those that are leaving.
+	members []model.InstanceID
 }
 
-// NewSet returns the set of the members that are not leaving.
+// NewSet returns the set of a head row's members. Those that are leaving are
+// homes of no session.
 func NewSet(version uint64, members []model.Member) *Set {
-	var names []string
+	var homes []string
+	set := &Set{version: version}
 	for _, member := range members {
+		set.members = append(set.members, member.ID)
 		if !member.Leaving {
-			names = append(names, string(member.ID))
+			homes = append(homes, string(member.ID))
 		}
 	}
-	return &Set{
-		version: version,
-		members: len(names),
-		hash:    rendezvous.New(names, xxhash.Sum64String),
-	}
+	set.homes = len(homes)
+	set.hash = rendezvous.New(homes, xxhash.Sum64String)
+	return set
 }
 
 // Version returns the version of the members in the head row.
@@ -36,7 +39,7 @@
 // Home returns the member that keeps the session's marks, or "" if the set is
 // empty.
 func (s *Set) Home(session model.SessionID) model.InstanceID {
-	if s.members == 0 {
+	if s.homes == 0 {
 		return ""
 	}
 	return model.InstanceID(s.hash.Lookup(string(session)))
--- a/pkg/state/marks/view.go
+++ b/pkg/state/marks/view.go
@@ -25,17 +25,6 @@
 	Version uint64
 }
 
-// Placement says where the mark of a write has to be stored.
-type Placement struct {
-	// Targets must each have stored the mark, or have refused it with
-	// StoreRetired. The first is the present home.
-	Targets []Target
-	// Complete is false while there may be readers at homes that this
-	// instance does not know of. The write may then be acknowledged only
-	// once all replicas in use have applied it.
-	Complete bool
-}
-
 // View is what one instance knows of the versions of the members. Reading and
 // writing sessions share it.
 type View struct {
@@ -44,6 +33,7 @@
 	epochs []viewEpoch
 	// completeFrom is when the readers of unknown versions are gone.
 	completeFrom time.Duration
+	rules        Rules
 }
 
 type viewEpoch struct {
@@ -55,7 +45,7 @@
 }
 
 // NewView returns a view that knows no version.
-func NewView(lease Lease) *View { return &View{lease: lease} }
+func NewView(lease Lease, rules Rules) *View { return &View{lease: lease, rules: rules} }
 
 // Confirm takes a head row read. askedAt is the time before the read was sent
 // and now the time at which it was answered.
@@ -108,7 +98,7 @@
 	}
 	placement := Placement{Targets: []Target{present}, Complete: now >= v.completeFrom}
 	for i := len(v.epochs) - 2; i >= 0; i-- {
-		if now >= v.epochs[i+1].learnedAt+v.lease.window() {
+		if now >= v.epochs[i+1].learnedAt+v.lease.window() || v.rules.NoEarlier {
 			break
 		}
 		placement.add(v.epochs[i].set, session)
