--- /dev/null
+++ b/pkg/transport/admin/client.go
@@ -0,0 +1,79 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/state/model"
+)
+
+const maxAnswerBytes = 16 << 20
+
+// Client asks an instance's admin listener. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	base string
+}
+
+// NewClient returns a client of the admin listener at address, IP:port.
+func NewClient(address string) *Client {
+	return &Client{http: &http.Client{}, base: "http://" + address}
+}
+
+// Status returns the instance's status. The context bounds the call.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.call(ctx, http.MethodGet, PathStatus, nil, http.StatusOK, &status)
+	return status, err
+}
+
+// Switch orders a change of primary; see Source.
+func (c *Client) Switch(ctx context.Context, group model.GroupID, target model.UpstreamID) error {
+	request := SwitchRequest{Group: group, Target: target}
+	return c.call(ctx, http.MethodPost, PathGroupSwitch, request, http.StatusAccepted, &SwitchRequest{})
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body any, expected int, result any) error {
+	var encoded []byte
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		encoded = data
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	request.Header.Set("Content-Type", contentJSON)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if response.StatusCode != expected {
+		return refusal(response.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, result); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+func refusal(code int, data []byte) error {
+	var failure Failure
+	if json.Unmarshal(data, &failure) == nil && failure.Error != "" {
+		return errors.New(failure.Error)
+	}
+	return errors.Errorf("status %d", code)
+}
--- /dev/null
+++ b/pkg/transport/admin/handler.go
@@ -0,0 +1,100 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"gypsumdock/pkg/telemetry"
+)
+
+// Paths of the handler.
+const (
+	PathMetrics     = "/metrics"
+	PathLive        = "/livez"
+	PathReady       = "/readyz"
+	PathStatus      = "/status"
+	PathGroupSwitch = "/group/switch"
+)
+
+const (
+	maxRequestBytes = 4 << 10
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = time.Minute
+	contentJSON     = "application/json"
+)
+
+// NewServer returns a server of the handler with its timeouts set. The caller
+// gives it a listener.
+func NewServer(source Source) *http.Server {
+	return &http.Server{
+		Handler:           NewHandler(source),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// NewHandler returns the handler of all paths.
+func NewHandler(source Source) http.Handler {
+	h := &handler{source: source}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathMetrics, h.metrics)
+	mux.HandleFunc("GET "+PathLive, h.live)
+	mux.HandleFunc("GET "+PathReady, h.ready)
+	mux.HandleFunc("GET "+PathStatus, h.status)
+	mux.HandleFunc("POST "+PathGroupSwitch, h.groupSwitch)
+	return mux
+}
+
+type handler struct{ source Source }
+
+func (h *handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	telemetry.WriteMetrics(w)
+}
+
+func (h *handler) live(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// ready is false before the first configuration and once a stop has begun, so
+// that a balancer sends no new caller.
+func (h *handler) ready(w http.ResponseWriter, _ *http.Request) {
+	state := h.source.Status().State
+	if state != StateReady {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = w.Write([]byte(string(state) + "\n"))
+}
+
+func (h *handler) status(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, h.source.Status())
+}
+
+// groupSwitch asks for JSON, which a browser does not send to another site by
+// itself.
+func (h *handler) groupSwitch(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Content-Type") != contentJSON {
+		answer(w, http.StatusUnsupportedMediaType, Failure{Error: "the body must be " + contentJSON})
+		return
+	}
+	var request SwitchRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		answer(w, http.StatusBadRequest, Failure{Error: err.Error()})
+		return
+	}
+	if err := h.source.Switch(r.Context(), request.Group, request.Target); err != nil {
+		answer(w, http.StatusConflict, Failure{Error: err.Error()})
+		return
+	}
+	answer(w, http.StatusAccepted, request)
+}
+
+// answer writes value as JSON. A failure to write means that the client left.
+func answer(w http.ResponseWriter, code int, value any) {
+	w.Header().Set("Content-Type", contentJSON)
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(value)
+}
