--- a/cmd/gypsumdock/main.go
+++ b/cmd/gypsumdock/main.go
@@ -1,4 +1,10 @@
 // Command gypsumdock is an entry instance of the proxy.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"gypsumdock/pkg/instance/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/pkg/coordination/control/inputs.go
+++ b/pkg/coordination/control/inputs.go
@@ -75,6 +75,11 @@
 	l.step(event)
 }
 
+// refreshInput asks for a read of the head row.
+type refreshInput struct{}
+
+func (refreshInput) apply(l *Loop) { l.readHead() }
+
 // leaveInput starts a graceful stop.
 type leaveInput struct{}
 
--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -140,6 +140,14 @@
 	l.post(failoverInput{failover.SwitchAsked{Group: group, Target: target}})
 }
 
+// RefreshHead asks for a read of the head row. It does not wait.
+func (l *Loop) RefreshHead() {
+	select {
+	case l.inputs <- refreshInput{}:
+	default:
+	}
+}
+
 // Leave starts a graceful stop: the instance is marked as leaving.
 func (l *Loop) Leave() { l.post(leaveInput{}) }
 
@@ -228,6 +236,7 @@
 		View:    l.view,
 		Routing: l.samples.routing(now, current, &l.view),
 		Peers:   maps.Clone(l.peers),
+		Grants:  shares(current, &l.view),
 		Leaving: l.leaving,
 	}
 	l.latest.Store(snapshot)
--- a/pkg/coordination/control/ports.go
+++ b/pkg/coordination/control/ports.go
@@ -87,6 +87,9 @@
 	WritesInFlight(group model.GroupID, generation model.Generation) int
 	// Sessions returns the number of callers' connections.
 	Sessions() int
+	// Load returns the usual latency of a statement on the upstream, and the
+	// number of statements that this instance may run there at once.
+	Load(upstream model.UpstreamID) (latency time.Duration, slots int)
 }
 
 // Platform is what control uses of the platform's services.
--- a/pkg/coordination/control/samples.go
+++ b/pkg/coordination/control/samples.go
@@ -138,14 +138,20 @@
 	s.config.Sessions.PrimarySampled(p.StartedAt, p.Group, at)
 }
 
-// noteDelay keeps the time from a commit until a probe shows it as applied.
+// noteDelay keeps the time by which a replica is behind: zero if it had applied
+// the primary's newest sample.
 func (s *samples) noteDelay(p failover.Probed, now time.Duration) {
-	age, known := s.tracker.Status(p.Upstream).Age(now)
+	status := s.tracker.Status(p.Upstream)
+	age, known := status.Age(now)
 	if !known {
 		return
 	}
 	sample := s.known[p.Upstream]
 	sample.delay = age
+	newest, _, sampled := s.tracker.Newest(p.Group)
+	if sampled && !status.Applied.Before(newest) {
+		sample.delay = 0
+	}
 	s.known[p.Upstream] = sample
 }
 
@@ -210,8 +216,8 @@
 		ID:         upstream.ID,
 		DataCentre: upstream.DataCentre,
 		Leaving:    upstream.Leaving,
-		Slots:      upstream.Slots,
 	}
+	made.Latency, made.Slots = s.config.Traffic.Load(upstream.ID)
 	if upstream.ID == state.Primary {
 		made.Primary = true
 		made.Usable = true
--- a/pkg/coordination/control/snapshot.go
+++ b/pkg/coordination/control/snapshot.go
@@ -21,6 +21,9 @@
 	Routing *routing.Snapshot
 	// Peers holds the newest status of each peer, by instance.
 	Peers map[model.InstanceID]PeerStatus
+	// Grants is the number of connections that this instance may hold to each
+	// upstream.
+	Grants map[model.UpstreamID]int
 	// Leaving is true once a graceful stop began.
 	Leaving bool
 }
--- /dev/null
+++ b/pkg/coordination/engine/stats.go
@@ -0,0 +1,35 @@
+package engine
+
+import "sync/atomic"
+
+// counters count since the start of the process.
+type counters struct {
+	admitted, refused, done atomic.Uint64
+	samples, watches        atomic.Uint64
+}
+
+// Stats are the engine's counts since the start of the process. Admitted
+// equals Refused plus Done plus what is in flight.
+type Stats struct {
+	Admitted, Refused, Done uint64
+	// Samples counts the questions to primaries, and Watches those to
+	// replicas, beyond the probes.
+	Samples, Watches uint64
+}
+
+// Stats returns the counts.
+func (e *Engine) Stats() Stats {
+	return Stats{
+		Done:     e.stats.done.Load(),
+		Refused:  e.stats.refused.Load(),
+		Admitted: e.stats.admitted.Load(),
+		Samples:  e.stats.samples.Load(),
+		Watches:  e.stats.watches.Load(),
+	}
+}
+
+// InFlight returns the number of units admitted and not yet done.
+func (e *Engine) InFlight() int {
+	stats := e.Stats()
+	return int(stats.Admitted - stats.Refused - stats.Done)
+}
--- a/pkg/coordination/headstore/headstore.go
+++ b/pkg/coordination/headstore/headstore.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/go-faster/errors"
 
@@ -12,9 +11,6 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// KeyPrefix is the prefix of the head rows; the region's name follows.
-const KeyPrefix = "head/"
-
 // ErrNoHead is returned while no bundle has been applied in the region.
 var ErrNoHead = errors.New("no head row")
 
@@ -26,12 +22,9 @@
 
 // New returns the store of the region's head row in table.
 func New(table platform.Table, region string) *Store {
-	return &Store{table: table, key: KeyPrefix + region}
+	return &Store{table: table, key: platform.HeadKey(region)}
 }
 
-// Key returns the row's key.
-func (s *Store) Key() string { return s.key }
-
 // Read returns the head row, or ErrNoHead.
 func (s *Store) Read(ctx context.Context) (*model.Head, error) {
 	row, err := s.table.Get(ctx, s.key)
@@ -41,7 +34,7 @@
 	if row == nil {
 		return nil, ErrNoHead
 	}
-	return Decode(row)
+	return platform.DecodeHead(row)
 }
 
 // Write puts head on the condition that the row has ifVersion. After a lost
@@ -49,7 +42,7 @@
 func (s *Store) Write(
 	ctx context.Context, opID string, ifVersion model.RowVersion, head *model.Head,
 ) (failover.WriteOutcome, *model.Head) {
-	value, err := json.Marshal(head)
+	value, err := platform.EncodeHead(head)
 	if err != nil {
 		return failover.WriteUnknown, nil
 	}
@@ -78,7 +71,7 @@
 	if row.OpID != opID {
 		return failover.WriteUnknown, nil
 	}
-	head, err := Decode(row)
+	head, err := platform.DecodeHead(row)
 	if err != nil {
 		return failover.WriteUnknown, nil
 	}
@@ -89,15 +82,5 @@
 	if len(rows) != 1 || rows[0] == nil {
 		return nil, ErrNoHead
 	}
-	return Decode(rows[0])
-}
-
-// Decode reads a head row.
-func Decode(row *platform.Row) (*model.Head, error) {
-	head := new(model.Head)
-	if err := json.Unmarshal(row.Value, head); err != nil {
-		return nil, errors.Wrapf(err, "head row at version %d", row.Version)
-	}
-	head.Version = row.Version
-	return head, nil
+	return platform.DecodeHead(rows[0])
 }
--- /dev/null
+++ b/pkg/coordination/sessions/read.go
@@ -0,0 +1,42 @@
+package sessions
+
+import (
+	"context"
+
+	"gypsumdock/pkg/state/marks"
+	"gypsumdock/pkg/state/model"
+)
+
+// Ask returns what the session's reads in the group have to respect. The
+// status is AskUnknown if the home cannot be asked or cannot tell.
+func (s *Service) Ask(ctx context.Context, key marks.Key) marks.Answer {
+	s.mu.Lock()
+	target, confirmed := s.view.ReadFrom(s.config.Clock.Now(), key.Session)
+	if confirmed && target.Home == s.config.Self {
+		defer s.mu.Unlock()
+		return s.home.Ask(key, target.Version)
+	}
+	s.mu.Unlock()
+	if !confirmed {
+		return marks.Answer{}
+	}
+	answer, err := s.config.Peers.AskMark(ctx, target, key)
+	if err != nil {
+		return marks.Answer{}
+	}
+	return answer
+}
+
+// Told says that the session has been told of the loss of its writes up to
+// mark.
+func (s *Service) Told(key marks.Key, mark model.Mark) {
+	s.mu.Lock()
+	target, confirmed := s.view.ReadFrom(s.config.Clock.Now(), key.Session)
+	if confirmed && target.Home == s.config.Self {
+		s.home.Told(key, mark)
+	}
+	s.mu.Unlock()
+	if confirmed && target.Home != s.config.Self {
+		s.config.Peers.TellMark(target.Home, key, mark)
+	}
+}
--- /dev/null
+++ b/pkg/coordination/sessions/write.go
@@ -0,0 +1,128 @@
+package sessions
+
+import (
+	"context"
+	"time"
+
+	"gypsumdock/pkg/state/marks"
+	"gypsumdock/pkg/state/model"
+)
+
+// Stored says how a Record ended.
+type Stored uint8
+
+// The ends of a Record.
+const (
+	// StoredNot means that the mark could not be stored before the context
+	// ended: the write must not be acknowledged.
+	StoredNot Stored = iota
+	// StoredAtHome means that the session's home has the mark.
+	StoredAtHome
+	// StoredByReplicas means that every replica in use has applied the write.
+	StoredByReplicas
+	// StoredLost means that the write did not survive a change of primary.
+	StoredLost
+)
+
+// Record makes sure that later reads of the session, through any instance,
+// respect the mark. It must be called after the write has committed and before
+// it is acknowledged, and returns when the mark is stored or ctx ends.
+func (s *Service) Record(ctx context.Context, key marks.Key, mark model.Mark) Stored {
+	s.mu.Lock()
+	s.ledger.Note(key, mark)
+	s.mu.Unlock()
+	for {
+		progress, lost := s.place(ctx, key, mark)
+		switch {
+		case lost:
+			return StoredLost
+		case progress == marks.PlacementStored:
+			return StoredAtHome
+		case progress == marks.PlacementAgain:
+			s.config.RefreshHead()
+		}
+		if s.hasPassed(key.Group, mark) {
+			return StoredByReplicas
+		}
+		if !s.waitPassed(ctx, key.Group) {
+			return StoredNot
+		}
+	}
+}
+
+// place tries once to store the mark at all the homes that need it.
+func (s *Service) place(ctx context.Context, key marks.Key, mark model.Mark) (progress marks.Progress, lost bool) {
+	s.mu.Lock()
+	placement, confirmed := s.view.StoreAt(s.config.Clock.Now(), key.Session)
+	s.mu.Unlock()
+	if !confirmed {
+		return marks.PlacementAgain, false
+	}
+	for i, status := range s.storeAll(ctx, placement.Targets, key, mark) {
+		if status.answered {
+			placement.Answered(i, status.status)
+			lost = lost || status.status == marks.StoreLost
+		}
+	}
+	return placement.Progress(), lost
+}
+
+// storeAnswer is a home's answer, if there was one.
+type storeAnswer struct {
+	status   marks.StoreStatus
+	answered bool
+}
+
+// storeAll asks all targets at once. The present home is usually the only one.
+func (s *Service) storeAll(ctx context.Context, targets []marks.Target, key marks.Key, mark model.Mark) []storeAnswer {
+	answers := make([]storeAnswer, len(targets))
+	if len(targets) == 1 {
+		answers[0] = s.storeAt(ctx, targets[0], key, mark)
+		return answers
+	}
+	done := make(chan struct{}, len(targets))
+	for i, target := range targets {
+		go func() {
+			answers[i] = s.storeAt(ctx, target, key, mark)
+			done <- struct{}{}
+		}()
+	}
+	for range targets {
+		<-done
+	}
+	return answers
+}
+
+func (s *Service) storeAt(ctx context.Context, target marks.Target, key marks.Key, mark model.Mark) storeAnswer {
+	if target.Home == s.config.Self {
+		return storeAnswer{status: s.StoreMark(key, mark, target.Version), answered: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	status, err := s.config.Peers.StoreMark(ctx, target, key, mark)
+	return storeAnswer{status: status, answered: err == nil}
+}
+
+func (s *Service) hasPassed(group model.GroupID, mark model.Mark) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, found := s.groups[group]
+	return found && !state.passed.Before(mark)
+}
+
+// waitPassed waits until the replicas move on or it is time to try the home
+// again. It reports false once ctx has ended.
+func (s *Service) waitPassed(ctx context.Context, group model.GroupID) bool {
+	s.mu.Lock()
+	moved := s.group(group).moved
+	s.mu.Unlock()
+	retry := time.NewTimer(storeRetry)
+	defer retry.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-moved:
+	case <-retry.C:
+	}
+	return true
+}
--- a/pkg/coordination/traffic/traffic.go
+++ b/pkg/coordination/traffic/traffic.go
@@ -48,6 +48,9 @@
 	Deadline time.Time
 	// Sent is set by the path once a byte has gone to the upstream.
 	Sent bool
+	// Counted belongs to the engine: MaySend counted the ticket as a write in
+	// flight.
+	Counted bool
 }
 
 // Result says how a unit of work ended.
--- /dev/null
+++ b/pkg/instance/assemble.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/headstore"
+	"gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/state/adoption"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/marks"
+	"gypsumdock/pkg/telemetry"
+	"gypsumdock/pkg/transport/admin"
+	"gypsumdock/pkg/transport/mesh"
+	"gypsumdock/pkg/transport/meshpeer"
+	"gypsumdock/pkg/transport/pgback"
+	"gypsumdock/pkg/transport/pgfront"
+	"gypsumdock/pkg/transport/pgprobe"
+)
+
+// minIdle is the number of idle connections kept ready to each upstream.
+const minIdle = 1
+
+// assemble makes all parts. Nothing of it serves yet but the mesh.
+func (i *Instance) assemble(ctx context.Context) error {
+	tracer, err := telemetry.NewTracer(ctx, i.settings.Traces, string(i.self.ID))
+	if err != nil {
+		return err
+	}
+	i.tracer = tracer
+	i.platform = platform.NewClient(platform.Options{
+		Address: i.settings.Platform.Address,
+		Timeout: i.settings.Platform.Timeout,
+		Token:   string(i.settings.Platform.Token),
+	})
+	i.prober = pgprobe.New()
+	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle}); err != nil {
+		return err
+	}
+	peers, err := i.assembleControl()
+	if err != nil {
+		return err
+	}
+	if err := i.assembleMesh(peers); err != nil {
+		return err
+	}
+	return i.assembleFront()
+}
+
+// assembleControl makes the control state and what traffic shares with it.
+func (i *Instance) assembleControl() (*meshpeer.Peers, error) {
+	peers := meshpeer.New(i.settings.Mesh.CallTimeout)
+	lease := marks.Lease{Lifetime: i.settings.Permits.Lifetime, Drift: i.settings.Permits.Drift}
+	i.sessions = sessions.New(sessions.Config{
+		Self:        i.self.ID,
+		Lease:       lease,
+		Clock:       i.clock,
+		Peers:       peers,
+		RefreshHead: func() { i.loop.RefreshHead() },
+	})
+	i.engine = engine.New(engine.Config{
+		Clock:     i.clock,
+		Sessions:  i.sessions,
+		Positions: i.prober,
+		Random:    rand.Uint64,
+	})
+	loop, err := control.New(control.Config{
+		Self:           i.self,
+		Failover:       i.failoverConfig(),
+		Adoption:       adoption.DefaultOptions(),
+		ProbeInterval:  i.settings.Failover.ProbeInterval,
+		ProbeTimeout:   i.settings.Failover.ProbeTimeout,
+		PromoteTimeout: i.settings.Failover.PromoteTimeout,
+		Admin:          i.listeners.admin.Addr().String(),
+		Clock:          i.clock,
+		Store:          headstore.New(platform.Counted(i.platform), i.settings.Instance.Region),
+		Platform:       platformServices{i.platform.Objects(), i.platform},
+		Upstreams:      upstreams{i.prober},
+		Peers:          peers,
+		Sessions:       i.sessions,
+		Traffic:        publisher{i.engine, i.pools},
+		Logger:         i.logger,
+	})
+	i.loop = loop
+	return peers, err
+}
+
+// platformServices joins the platform's object store and list of instances.
+type platformServices struct {
+	platform.Objects
+	list platform.Instances
+}
+
+// Instances returns the platform's list.
+func (p platformServices) Instances(ctx context.Context) ([]platform.Instance, error) {
+	return p.list.Instances(ctx)
+}
+
+func (i *Instance) failoverConfig() failover.Config {
+	return failover.Config{
+		PermitLifetime:  i.settings.Permits.Lifetime,
+		Drift:           i.settings.Permits.Drift,
+		ReadInterval:    i.settings.Permits.ReadInterval,
+		DetectAfter:     i.settings.Failover.DetectAfter,
+		ObserveInterval: i.settings.Failover.ObserveInterval,
+	}
+}
+
+func (i *Instance) assembleMesh(peers *meshpeer.Peers) error {
+	server, client, err := meshTLS(i.settings.Mesh)
+	if err != nil {
+		return err
+	}
+	i.mesh = mesh.New(mesh.Config{
+		Self:          i.self,
+		Region:        i.settings.Instance.Region,
+		Listener:      i.listeners.mesh,
+		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions},
+		Logger:        i.logger,
+		ServerTLS:     server,
+		ClientTLS:     client,
+		MaxFrameBytes: int64(i.settings.Mesh.MaxFrameBytes),
+	})
+	peers.Connect(i.mesh)
+	return nil
+}
+
+func (i *Instance) assembleFront() error {
+	secure, err := callersTLS(i.settings.Callers)
+	if err != nil {
+		return err
+	}
+	i.front, err = pgfront.New(pgfront.Config{
+		Listener:       i.listeners.callers,
+		Engine:         i.engine,
+		Backends:       i.pools,
+		Logger:         i.logger,
+		Tracer:         spans{i.tracer},
+		TLS:            secure,
+		StartupTimeout: i.settings.Callers.StartupTimeout,
+		MaxMessage:     i.settings.Callers.MaxMessageBytes,
+		MaxSessions:    i.settings.Callers.MaxConnections,
+	})
+	if err != nil {
+		return errors.Wrap(err, "callers' server")
+	}
+	i.engine.CountSessions(i.front.Sessions)
+	i.admin = admin.NewServer(i)
+	return nil
+}
--- /dev/null
+++ b/pkg/instance/command/command.go
@@ -0,0 +1,92 @@
+// Package command is the command line of an entry instance.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"gypsumdock/pkg/instance"
+	"gypsumdock/pkg/settings"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// options are the flags of the command line.
+type options struct {
+	Settings       string `long:"settings" short:"s" value-name:"FILE" required:"yes" description:"settings of the instance, in TOML"`
+	Check          bool   `long:"check" description:"check the settings and exit: 0 if they are good, 2 if not"`
+	PrintEffective bool   `long:"print-effective" description:"print the settings in force, without secrets, and exit"`
+}
+
+// Run carries out the command line and returns the exit code: 0 after a stop
+// that cut nothing, 1 after a failure, 2 for bad arguments or settings.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var chosen options
+	parser := flags.NewParser(&chosen, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "gypsumdock"
+	parser.LongDescription = "Serves callers of the PostgreSQL protocol before groups of databases. " +
+		"SIGTERM and SIGINT stop it gracefully."
+	if _, err := parser.ParseArgs(args); err != nil {
+		return reportArguments(err, stdout, stderr)
+	}
+	loaded, problems := settings.Load(chosen.Settings)
+	if len(problems) > 0 {
+		for _, problem := range problems {
+			fmt.Fprintln(stderr, problem)
+		}
+		return exitSettings
+	}
+	switch {
+	case chosen.Check:
+		return exitOK
+	case chosen.PrintEffective:
+		return printEffective(loaded, stdout, stderr)
+	default:
+		return serve(loaded, stderr)
+	}
+}
+
+func reportArguments(err error, stdout, stderr io.Writer) int {
+	var fault *flags.Error
+	if errors.As(err, &fault) && fault.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, err)
+		return exitOK
+	}
+	fmt.Fprintln(stderr, err)
+	return exitSettings
+}
+
+func serve(loaded *settings.Settings, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := instance.NewLogger(loaded.Log, stderr)
+	running, err := instance.New(ctx, loaded, logger)
+	if err != nil {
+		logger.Error("start failed", "error", err)
+		return exitFailed
+	}
+	if err := running.Run(ctx); err != nil {
+		logger.Error("stopped", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func printEffective(loaded *settings.Settings, stdout, stderr io.Writer) int {
+	if err := loaded.WriteEffective(stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/pkg/instance/instance.go
@@ -0,0 +1,133 @@
+// Package instance puts together an entry instance: its listeners, the control
+// state, the path of statements and the connections to peers, upstreams and
+// the platform.
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/events"
+	"gypsumdock/pkg/settings"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
+	"gypsumdock/pkg/transport/mesh"
+	"gypsumdock/pkg/transport/pgback"
+	"gypsumdock/pkg/transport/pgfront"
+	"gypsumdock/pkg/transport/pgprobe"
+)
+
+// Instance is a running entry instance.
+type Instance struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	clock    clock
+	self     model.Member
+
+	listeners listeners
+	platform  *platform.Client
+	prober    *pgprobe.Prober
+	pools     *pgback.Pools
+	engine    *engine.Engine
+	sessions  *sessions.Service
+	loop      *control.Loop
+	mesh      *mesh.Node
+	front     *pgfront.Server
+	admin     *http.Server
+	tracer    *telemetry.Tracer
+	stopping  stopFlag
+}
+
+// listeners are the open sockets.
+type listeners struct{ callers, mesh, admin net.Listener }
+
+// New opens the listeners and puts the parts together. Run starts them.
+func New(ctx context.Context, configured *settings.Settings, logger *slog.Logger) (*Instance, error) {
+	i := &Instance{settings: configured, clock: newClock()}
+	opened, err := listen(configured)
+	if err != nil {
+		return nil, err
+	}
+	i.listeners = opened
+	i.self = selfOf(configured, opened)
+	i.logger = logger.With(slog.String("instance", string(i.self.ID)))
+	if err := i.assemble(ctx); err != nil {
+		opened.close()
+		return nil, err
+	}
+	return i, nil
+}
+
+// Run serves until ctx ends, and then stops gracefully. The error is nil if
+// nothing in flight was cut.
+func (i *Instance) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	events.Log(ctx, i.logger, events.InstanceStarted,
+		slog.String("callers", i.listeners.callers.Addr().String()),
+		slog.String("mesh", i.listeners.mesh.Addr().String()),
+		slog.String("admin", i.listeners.admin.Addr().String()))
+	i.loop.Start()
+	go i.sessions.Run(background)
+	go i.exportMetrics(background)
+	go func() { _ = i.admin.Serve(i.listeners.admin) }()
+	served := make(chan error, 1)
+	go func() { served <- i.serveWhenReady(background) }()
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		if err != nil {
+			i.close()
+			return errors.Wrap(err, "serve callers")
+		}
+	}
+	return i.stop()
+}
+
+// serveWhenReady accepts callers once a configuration is in force.
+func (i *Instance) serveWhenReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !i.isReady() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	events.Log(ctx, i.logger, events.InstanceReady)
+	return i.front.Serve(ctx)
+}
+
+// readyInterval is the pause between two checks for a configuration.
+const readyInterval = 20 * time.Millisecond
+
+// isReady reports whether a configuration is in force and the state of its
+// groups is known.
+func (i *Instance) isReady() bool {
+	snapshot := i.loop.Snapshot()
+	return snapshot.Ref.Revision > 0 && len(snapshot.View.Groups) > 0 && !i.stopping.isSet()
+}
+
+// selfOf returns this instance as a member.
+func selfOf(configured *settings.Settings, opened listeners) model.Member {
+	id := configured.Instance.ID
+	if id == "" {
+		id = model.InstanceID(uuid.NewString())
+	}
+	address := configured.Mesh.Advertise
+	if address == "" {
+		address = opened.mesh.Addr().String()
+	}
+	return model.Member{ID: id, DataCentre: configured.Instance.DataCentre, Address: address}
+}
--- a/pkg/protocol/meshlink/meshlink.go
+++ b/pkg/protocol/meshlink/meshlink.go
@@ -57,7 +57,7 @@
 			HeadVersion: int64(m.HeadVersion),
 		}}
 	case failover.HeadSent:
-		return encodeHead(m.Head)
+		return EncodeHead(m.Head)
 	case failover.HeadChanged:
 		changed := &meshpb.HeadChanged{Version: int64(m.Version)}
 		envelope.Body = &meshpb.Envelope_HeadChanged{HeadChanged: changed}
@@ -73,7 +73,8 @@
 	return envelope
 }
 
-func encodeHead(head *model.Head) *meshpb.Envelope {
+// EncodeHead returns the message with a head row, or nil.
+func EncodeHead(head *model.Head) *meshpb.Envelope {
 	value, err := json.Marshal(head)
 	if err != nil {
 		return nil
@@ -151,6 +152,16 @@
 	}
 }
 
+// DecodeHead returns the head row in an envelope, if there is one.
+func DecodeHead(envelope *meshpb.Envelope) (*model.Head, bool) {
+	message, found := Decode(envelope)
+	if !found {
+		return nil, false
+	}
+	sent, found := message.(failover.HeadSent)
+	return sent.Head, found
+}
+
 func decodeHead(sent *meshpb.HeadSent) (failover.PeerMessage, bool) {
 	head := new(model.Head)
 	if err := json.Unmarshal(sent.GetHead(), head); err != nil {
--- a/pkg/telemetry/tracer.go
+++ b/pkg/telemetry/tracer.go
@@ -116,6 +116,22 @@
 	return t.start(ctx, "upstream", trace.SpanKindClient, attribute.String("gypsumdock.upstream", upstream))
 }
 
+// Hop starts the span of a hop within a unit of work.
+func (t *Tracer) Hop(ctx context.Context, name string) (context.Context, Span) {
+	if t == nil {
+		return ctx, Span{}
+	}
+	return t.start(ctx, name, trace.SpanKindInternal)
+}
+
+// Join returns ctx with the remote span of a traceparent as parent.
+func (t *Tracer) Join(ctx context.Context, traceparent string) context.Context {
+	if t == nil {
+		return ctx
+	}
+	return withRemote(ctx, traceparent)
+}
+
 func (t *Tracer) start(ctx context.Context, name string, kind trace.SpanKind, attributes ...attribute.KeyValue) (context.Context, Span) {
 	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(attributes...))
 	return ctx, Span{span: span}
--- a/pkg/transport/mesh/node.go
+++ b/pkg/transport/mesh/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,20 @@
 	}
 }
 
+// Peers returns the peers that have a session, ordered by ID.
+func (n *Node) Peers() []model.InstanceID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var peers []model.InstanceID
+	for id, existing := range n.links {
+		if existing.connected() {
+			peers = append(peers, id)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
 // Send queues a message without an answer. It does not wait.
 func (n *Node) Send(to model.InstanceID, message *meshpb.Envelope) error {
 	found, err := n.link(to)
--- /dev/null
+++ b/pkg/transport/meshpeer/inbound.go
@@ -0,0 +1,90 @@
+package meshpeer
+
+import (
+	"context"
+	"net"
+
+	"gypsumdock/pkg/protocol/meshlink"
+	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/model"
+)
+
+// Inbound hands what peers send to the parts of this instance. It implements
+// mesh.Handler. The fields are set before the mesh starts.
+type Inbound struct {
+	Control  Control
+	Homes    Homes
+	Forwards Forwards
+}
+
+// HandleMessage takes one message of a peer.
+func (h *Inbound) HandleMessage(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	switch body := message.GetBody().(type) {
+	case *meshpb.Envelope_Status:
+		h.Control.StatusReceived(from, meshlink.DecodeStatus(body.Status))
+	case *meshpb.Envelope_HeadAsk:
+		reply(h.head())
+	case *meshpb.Envelope_BundleAsk:
+		reply(h.bundle(body.BundleAsk.GetDigest()))
+	default:
+		h.handleMarks(from, message, reply)
+	}
+}
+
+// handleMarks takes the messages about marks.
+func (h *Inbound) handleMarks(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	switch body := message.GetBody().(type) {
+	case *meshpb.Envelope_MarkStore:
+		store := body.MarkStore
+		status := h.Homes.StoreMark(meshlink.Key(store.GetKey()), meshlink.Mark(store.GetMark()), store.GetMembersVersion())
+		reply(meshlink.EncodeMarkStored(status))
+	case *meshpb.Envelope_MarkAsk:
+		answer := h.Homes.AskMark(meshlink.Key(body.MarkAsk.GetKey()), body.MarkAsk.GetMembersVersion())
+		reply(meshlink.EncodeMarkAnswer(answer))
+	case *meshpb.Envelope_MarkTold:
+		h.Homes.TellMark(meshlink.Key(body.MarkTold.GetKey()), meshlink.Mark(body.MarkTold.GetMark()))
+	case *meshpb.Envelope_LostMark:
+		lost := body.LostMark
+		status := h.Homes.TakeLost(meshlink.Key(lost.GetKey()), meshlink.Mark(lost.GetMark()), lost.GetMembersVersion())
+		reply(meshlink.EncodeMarkStored(status))
+	case *meshpb.Envelope_HandedOver:
+		h.Homes.HandedOver(from, model.RowVersion(body.HandedOver.GetHeadVersion()))
+	default:
+		h.handleControl(from, message, reply)
+	}
+}
+
+// handleControl takes the messages of the failover machine.
+func (h *Inbound) handleControl(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	decoded, found := meshlink.Decode(message)
+	if !found {
+		reply(meshlink.EncodeFailure("no answer to this message"))
+		return
+	}
+	h.Control.PeerReceived(from, decoded)
+}
+
+func (h *Inbound) head() *meshpb.Envelope {
+	head := h.Control.Snapshot().View.Head
+	if head == nil {
+		return meshlink.EncodeFailure("no head row known")
+	}
+	return meshlink.EncodeHead(head)
+}
+
+func (h *Inbound) bundle(digest string) *meshpb.Envelope {
+	data, found := h.Control.Bundle(digest)
+	if !found {
+		return meshlink.EncodeFailure("no such bundle")
+	}
+	return &meshpb.Envelope{Body: &meshpb.Envelope_BundleAnswer{BundleAnswer: &meshpb.BundleAnswer{Bundle: data}}}
+}
+
+// HandleForward serves a forwarded unit of work.
+func (h *Inbound) HandleForward(ctx context.Context, from model.InstanceID, open *meshpb.ForwardOpen, conn net.Conn) {
+	if h.Forwards == nil {
+		_ = conn.Close()
+		return
+	}
+	h.Forwards.Serve(ctx, from, open, conn)
+}
--- /dev/null
+++ b/pkg/transport/pgprobe/lane.go
@@ -0,0 +1,95 @@
+package pgprobe
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"gypsumdock/pkg/state/bundle"
+)
+
+// lane is the connection to one upstream. Its owner is whoever took the token
+// out of the channel; conn is nil until the first use and after an error.
+type lane struct {
+	token   chan struct{}
+	conn    *pgconn.PgConn
+	address string
+}
+
+func newLane() *lane {
+	l := &lane{token: make(chan struct{}, 1)}
+	l.token <- struct{}{}
+	return l
+}
+
+// onLane runs question on the lane's connection, which it opens if needed. On
+// any error the connection is closed.
+func onLane[T any](
+	ctx context.Context, l *lane, group *bundle.Group, upstream *bundle.Upstream,
+	question func(context.Context, *pgconn.PgConn) (T, error),
+) (T, error) {
+	var none T
+	select {
+	case <-l.token:
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	defer func() { l.token <- struct{}{} }()
+	if err := l.connect(ctx, group, upstream); err != nil {
+		return none, err
+	}
+	answer, err := question(ctx, l.conn)
+	if err != nil {
+		l.discard()
+		return none, err
+	}
+	return answer, nil
+}
+
+// connect opens the connection unless it is open to the upstream's address.
+func (l *lane) connect(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) error {
+	if l.conn != nil && !l.conn.IsClosed() && l.address == upstream.Address {
+		return nil
+	}
+	l.discard()
+	conn, err := connect(ctx, group, upstream)
+	if err != nil {
+		return err
+	}
+	l.conn = conn
+	l.address = upstream.Address
+	return nil
+}
+
+// discard closes the connection without waiting for the upstream.
+func (l *lane) discard() {
+	if l.conn == nil {
+		return
+	}
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = l.conn.Close(expired)
+	l.conn = nil
+}
+
+func (l *lane) close() {
+	<-l.token
+	l.discard()
+	l.token <- struct{}{}
+}
+
+func connect(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "probe settings")
+	}
+	if err := setAddress(config, upstream.Address); err != nil {
+		return nil, err
+	}
+	config.User = group.User
+	config.Password = group.Password
+	config.Database = group.Database
+	config.Fallbacks = nil
+	return pgconn.ConnectConfig(ctx, config)
+}
--- a/pkg/transport/pgprobe/pgprobe.go
+++ b/pkg/transport/pgprobe/pgprobe.go
@@ -39,32 +39,22 @@
 	Follows netip.AddrPort
 }
 
-// Prober keeps one connection to each upstream that it probes. It is safe for
-// concurrent use, with one probe of an upstream at a time.
+// Prober keeps one connection to each upstream. It is safe for concurrent use;
+// the questions to one upstream wait for each other.
 type Prober struct {
-	// mu guards conns.
+	// mu guards lanes.
 	mu    sync.Mutex
-	conns map[model.UpstreamID]*pgconn.PgConn
+	lanes map[model.UpstreamID]*lane
 }
 
 // New returns a Prober without connections.
 func New() *Prober {
-	return &Prober{conns: make(map[model.UpstreamID]*pgconn.PgConn)}
+	return &Prober{lanes: make(map[model.UpstreamID]*lane)}
 }
 
 // Probe asks upstream for its state. On any error its connection is closed.
 func (p *Prober) Probe(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (Sample, error) {
-	conn, err := p.take(ctx, group, upstream)
-	if err != nil {
-		return Sample{}, err
-	}
-	sample, err := ask(ctx, conn)
-	if err != nil {
-		p.discard(conn)
-		return Sample{}, err
-	}
-	p.put(upstream.ID, conn)
-	return sample, nil
+	return onLane(ctx, p.lane(upstream.ID), group, upstream, ask)
 }
 
 // Promote makes upstream a primary and returns its state afterwards, with the
@@ -72,17 +62,43 @@
 // promoted before answers likewise. An error leaves open whether the promotion
 // happened.
 func (p *Prober) Promote(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (Sample, error) {
-	conn, err := p.take(ctx, group, upstream)
-	if err != nil {
-		return Sample{}, err
+	return onLane(ctx, p.lane(upstream.ID), group, upstream, promote)
+}
+
+// Current returns the position of a primary.
+func (p *Prober) Current(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (model.LSN, error) {
+	return onLane(ctx, p.lane(upstream.ID), group, upstream, func(ctx context.Context, conn *pgconn.PgConn) (model.LSN, error) {
+		return position(ctx, conn, queryCurrent)
+	})
+}
+
+// Replayed returns the position that a replica has applied.
+func (p *Prober) Replayed(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (model.LSN, error) {
+	return onLane(ctx, p.lane(upstream.ID), group, upstream, func(ctx context.Context, conn *pgconn.PgConn) (model.LSN, error) {
+		return position(ctx, conn, queryReplayed)
+	})
+}
+
+// Close closes all connections. Questions under way end with an error.
+func (p *Prober) Close() {
+	p.mu.Lock()
+	lanes := p.lanes
+	p.lanes = make(map[model.UpstreamID]*lane)
+	p.mu.Unlock()
+	for _, l := range lanes {
+		l.close()
 	}
-	sample, err := promote(ctx, conn)
-	if err != nil {
-		p.discard(conn)
-		return Sample{}, err
+}
+
+func (p *Prober) lane(id model.UpstreamID) *lane {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, exists := p.lanes[id]
+	if !exists {
+		found = newLane()
+		p.lanes[id] = found
 	}
-	p.put(upstream.ID, conn)
-	return sample, nil
+	return found
 }
 
 func promote(ctx context.Context, conn *pgconn.PgConn) (Sample, error) {
@@ -197,60 +213,3 @@
 	}
 	return results[0].Rows, nil
 }
-
-// take returns the idle connection to upstream, or opens one.
-func (p *Prober) take(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (*pgconn.PgConn, error) {
-	p.mu.Lock()
-	conn, idle := p.conns[upstream.ID]
-	delete(p.conns, upstream.ID)
-	p.mu.Unlock()
-	if idle && !conn.IsClosed() {
-		return conn, nil
-	}
-	return connect(ctx, group, upstream)
-}
-
-func connect(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (*pgconn.PgConn, error) {
-	config, err := pgconn.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, errors.Wrap(err, "probe settings")
-	}
-	if err := setAddress(config, upstream.Address); err != nil {
-		return nil, err
-	}
-	config.User = group.User
-	config.Password = group.Password
-	config.Database = group.Database
-	config.Fallbacks = nil
-	return pgconn.ConnectConfig(ctx, config)
-}
-
-// put keeps conn for the next probe, or closes it if there is one already.
-func (p *Prober) put(id model.UpstreamID, conn *pgconn.PgConn) {
-	p.mu.Lock()
-	_, occupied := p.conns[id]
-	if !occupied {
-		p.conns[id] = conn
-	}
-	p.mu.Unlock()
-	if occupied {
-		p.discard(conn)
-	}
-}
-
-func (p *Prober) discard(conn *pgconn.PgConn) {
-	expired, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = conn.Close(expired)
-}
-
-// Close closes all connections.
-func (p *Prober) Close() {
-	p.mu.Lock()
-	conns := p.conns
-	p.conns = make(map[model.UpstreamID]*pgconn.PgConn)
-	p.mu.Unlock()
-	for _, conn := range conns {
-		p.discard(conn)
-	}
-}
