--- a/pkg/state/bundle/bundle.go
+++ b/pkg/state/bundle/bundle.go
@@ -27,8 +27,11 @@
 	Password string `json:"password"`
 	// Primary is the upstream that starts as primary when the group is new;
 	// the first of Upstreams when empty.
-	Primary   model.UpstreamID `json:"primary,omitempty"`
-	Upstreams []Upstream       `json:"upstreams"`
+	Primary model.UpstreamID `json:"primary,omitempty"`
+	// Timeline is the primary's PostgreSQL timeline when the group is new; 1
+	// when zero.
+	Timeline  uint32     `json:"timeline,omitempty"`
+	Upstreams []Upstream `json:"upstreams"`
 }
 
 // Upstream is one database server.
--- a/pkg/state/bundle/bundle_test.go
+++ b/pkg/state/bundle/bundle_test.go
@@ -105,7 +105,7 @@
 		))
 		Expect(lines(problems)).To(Equal([]string{
 			`0.toml:18: group[1]: "plugs" stands twice in this file, first on line 1`,
-			`0.toml:20: group[1].colour: unknown key; allowed are id, override, remove, database, user, password, primary, upstream`,
+			`0.toml:20: group[1].colour: unknown key; allowed are id, override, remove, database, user, password, primary, timeline, upstream`,
 			`2.toml:1: caller[0]: "desk" is given at 1.toml:1 already; override = true replaces it`,
 			`3.toml:6: route[0].max_age: must be from 0s to 1h0m0s, not 2h0m0s`,
 			`3.toml:7: route[0].wait_replicas: must be 0 where read_only = true, as a read is not replicated`,
--- a/pkg/state/bundle/diff.go
+++ b/pkg/state/bundle/diff.go
@@ -144,6 +144,7 @@
 		show("user", g.User),
 		{name: "password", value: g.Password, secret: true},
 		show("primary", g.Primary),
+		show("timeline", g.Timeline),
 	}}}
 	for _, u := range g.Upstreams {
 		all = append(all, description{KindUpstream, string(u.ID), []field{
--- a/pkg/state/bundle/match.go
+++ b/pkg/state/bundle/match.go
@@ -68,6 +68,9 @@
 	return g.Upstreams[0].ID
 }
 
+// InitialTimeline returns the primary's timeline when the group is new.
+func (g *Group) InitialTimeline() uint32 { return max(g.Timeline, 1) }
+
 // String returns the ID, so that no log shows the password.
 func (g Group) String() string { return string(g.ID) }
 
--- a/pkg/state/bundle/schema.go
+++ b/pkg/state/bundle/schema.go
@@ -35,6 +35,7 @@
 	User      string           `toml:"user"`
 	Password  string           `toml:"password"`
 	Primary   model.UpstreamID `toml:"primary"`
+	Timeline  uint32           `toml:"timeline"`
 	Upstreams []upstreamSchema `toml:"upstream"`
 }
 
@@ -71,7 +72,14 @@
 }
 
 func (s *groupSchema) group() Group {
-	group := Group{ID: s.ID, Database: s.Database, User: s.User, Password: s.Password, Primary: s.Primary}
+	group := Group{
+		ID:       s.ID,
+		Database: s.Database,
+		User:     s.User,
+		Password: s.Password,
+		Primary:  s.Primary,
+		Timeline: s.Timeline,
+	}
 	for _, upstream := range s.Upstreams {
 		group.Upstreams = append(group.Upstreams, Upstream(upstream))
 	}
--- a/pkg/tomlbind/value.go
+++ b/pkg/tomlbind/value.go
@@ -72,6 +72,8 @@
 		field.SetBool(text == "true")
 	case field.CanInt() && node.Kind == unstable.Integer:
 		return setInt(field, text, wrong)
+	case field.CanUint() && node.Kind == unstable.Integer:
+		return setUint(field, text, wrong)
 	case field.CanFloat() && (node.Kind == unstable.Float || node.Kind == unstable.Integer):
 		return setFloat(field, text, wrong)
 	default:
@@ -101,6 +103,16 @@
 	return ""
 }
 
+func setUint(field reflect.Value, text, wrong string) string {
+	digits := strings.ReplaceAll(text, "_", "")
+	number, err := strconv.ParseUint(digits, integerBase(digits), 64)
+	if err != nil || field.OverflowUint(number) {
+		return wrong
+	}
+	field.SetUint(number)
+	return ""
+}
+
 // integerBase keeps a leading zero from meaning octal, as TOML demands a
 // prefix for each base but ten.
 func integerBase(digits string) int {
@@ -136,6 +148,8 @@
 		return "an array of tables"
 	case t.Kind() == reflect.Slice:
 		return "an array whose entries are each " + describe(t.Elem())
+	case t.Kind() == reflect.Uint32:
+		return "an integer of 0 or more"
 	default:
 		return "an integer"
 	}
