Add gypsumctl: check, diff, apply, history, rollback, status, groups, verifier

A commit that meets a change of the head row which leaves the configuration alone, such as a change of primary, is made again on the new row. One that meets another revision ends with the name of that revision and its operator. A lost answer is settled by the history row, which is written once.

--- /dev/null
+++ b/pkg/operator/command_test.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/xdg-go/scram"
+
+	"gypsumdock/pkg/coordination/platform/platformfake"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/admin"
+)
+
+const example = "../../examples/tregwynt"
+
+// instance is an admin listener that tells what the test wants.
+type instance struct{ status admin.Status }
+
+func (i *instance) Status() admin.Status { return i.status }
+
+func (i *instance) Switch(_ context.Context, group model.GroupID, target model.UpstreamID) error {
+	i.status.Groups = []admin.GroupStatus{{ID: group, Primary: target, Generation: 2}}
+	return nil
+}
+
+func (i *instance) listen() string {
+	server := httptest.NewServer(admin.NewHandler(i))
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// commandLine runs the command against a fake platform.
+type commandLine struct {
+	fake           *platformfake.Platform
+	stdin          string
+	stdout, stderr bytes.Buffer
+}
+
+func (c *commandLine) run(args ...string) int {
+	c.stdout.Reset()
+	c.stderr.Reset()
+	a := &app{
+		ctx: context.Background(),
+		env: Env{Stdin: strings.NewReader(c.stdin), Stdout: &c.stdout, Stderr: &c.stderr},
+	}
+	a.newPublisher = func() (*Publisher, error) { return publisherOf(c.fake, "ann"), nil }
+	return a.run(args)
+}
+
+var _ = Describe("gypsumctl", func() {
+	var line *commandLine
+
+	BeforeEach(func() { line = &commandLine{fake: platformfake.New()} })
+
+	It("states the exit codes in its help", func() {
+		Expect(line.run("--help")).To(Equal(ExitOK))
+		Expect(line.stdout.String()).To(ContainSubstring("3 another operator's revision came between"))
+	})
+
+	It("names file and line of a bad folder and changes nothing", func() {
+		dir := GinkgoT().TempDir()
+		file := filepath.Join(dir, "10.toml")
+		Expect(os.WriteFile(file, []byte("[[group]]\nid = 5\n"), 0o600)).To(Succeed())
+		Expect(line.run("apply", dir)).To(Equal(ExitUsage))
+		Expect(line.stderr.String()).To(ContainSubstring(file + ":2: group[0].id: must be a string"))
+		Expect(line.run("--output", "json", "check", dir)).To(Equal(ExitUsage))
+		var shown failure
+		Expect(json.Unmarshal(line.stderr.Bytes(), &shown)).To(Succeed())
+		Expect(shown.Problems).To(ContainElement(bundle.Problem{File: file, Line: 2, Key: "group[0].id", Reason: "must be a string"}))
+		Expect(line.run("history")).To(Equal(ExitOK))
+		Expect(strings.Count(line.stdout.String(), "\n")).To(Equal(1))
+	})
+
+	It("says which instances have the revision in force", func() {
+		first := &instance{status: admin.Status{Instance: "i1", Revision: 1, Peers: []admin.PeerStatus{
+			{ID: "i2", Revision: 1, Live: true},
+			{ID: "i3", Revision: 0, Live: true},
+			{ID: "i4", Revision: 0, Live: false},
+		}}}
+		address := first.listen()
+		Expect(line.run("--instance", address, "--wait", "1ms", "apply", example)).To(Equal(ExitNotInForce))
+		Expect(line.stdout.String()).To(MatchRegexp(`i1 +1 +yes\ni2 +1 +yes\ni3 +0 +no\n`))
+		first.status.Peers[1].Revision = 1
+		Expect(line.run("--instance", address, "--output", "json", "apply", example)).To(Equal(ExitOK))
+		var applied applyResult
+		Expect(json.Unmarshal(line.stdout.Bytes(), &applied)).To(Succeed())
+		Expect(applied.Unchanged).To(BeTrue())
+		Expect(applied.Rollout.missing()).To(BeZero())
+	})
+
+	It("applies only on the base that was asked for", func() {
+		Expect(line.run("apply", "--base", "4", example)).To(Equal(ExitConflict))
+		Expect(line.run("apply", "--base", "0", example)).To(Equal(ExitOK))
+		Expect(line.run("apply", "--base", "0", "../../examples/lankapower")).To(Equal(ExitConflict))
+	})
+
+	It("switches a group and waits for the end", func() {
+		address := (&instance{}).listen()
+		Expect(line.run("--instance", address, "group", "switch", "plugs", "b")).To(Equal(ExitOK))
+		Expect(line.stdout.String()).To(Equal("group plugs: primary b, generation 2\n"))
+		Expect(line.run("--instance", address, "group", "show", "plugs")).To(Equal(ExitOK))
+		Expect(line.run("--instance", address, "group", "show", "none")).To(Equal(ExitFailed))
+	})
+
+	It("fails when an instance does not answer", func() {
+		server := httptest.NewServer(nil)
+		address := strings.TrimPrefix(server.URL, "http://")
+		server.Close()
+		Expect(line.run("--instance", address, "status")).To(Equal(ExitFailed))
+		Expect(line.run("--instance", address, "--wait", "1ms", "group", "switch", "plugs", "b")).To(Equal(ExitUnknown))
+	})
+
+	It("makes a verifier that the password logs in with", func() {
+		line.stdin = "pass wort\n"
+		Expect(line.run("verifier")).To(Equal(ExitOK))
+		verifier, err := bundle.ParseVerifier(strings.TrimSpace(line.stdout.String()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(logsIn(verifier, "pass wort")).To(BeTrue())
+		Expect(logsIn(verifier, "other")).To(BeFalse())
+	})
+})
+
+// logsIn runs a SCRAM conversation with the password.
+func logsIn(verifier bundle.Verifier, password string) bool {
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Salt: string(verifier.Salt), Iters: verifier.Iterations},
+			StoredKey:  verifier.StoredKey,
+			ServerKey:  verifier.ServerKey,
+		}, nil
+	})
+	Expect(err).NotTo(HaveOccurred())
+	client, err := scram.SHA256.NewClient("desk", password, "")
+	Expect(err).NotTo(HaveOccurred())
+	asking, answering := client.NewConversation(), server.NewConversation()
+	message := ""
+	for !answering.Done() {
+		if message, err = asking.Step(message); err != nil {
+			return false
+		}
+		if message, err = answering.Step(message); err != nil {
+			return false
+		}
+	}
+	return answering.Valid()
+}
--- /dev/null
+++ b/pkg/operator/folder.go
@@ -0,0 +1,42 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gypsumdock/pkg/state/bundle"
+)
+
+const folderSuffix = ".toml"
+
+// ReadFolder merges the *.toml files of a directory. Its error is a
+// FolderError.
+func ReadFolder(dir string) (*bundle.Bundle, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, &FolderError{Problems: []bundle.Problem{{File: dir, Reason: err.Error()}}}
+	}
+	var files []bundle.File
+	var problems []bundle.Problem
+	for _, entry := range entries {
+		if entry.IsDir() || !strings.HasSuffix(entry.Name(), folderSuffix) {
+			continue
+		}
+		path := filepath.Join(dir, entry.Name())
+		data, err := os.ReadFile(path)
+		if err != nil {
+			problems = append(problems, bundle.Problem{File: path, Reason: err.Error()})
+			continue
+		}
+		files = append(files, bundle.File{Name: path, Data: data})
+	}
+	if len(files) == 0 && len(problems) == 0 {
+		problems = append(problems, bundle.Problem{File: dir, Reason: "must hold at least one *" + folderSuffix + " file"})
+	}
+	merged, found := bundle.Merge(files)
+	if problems = append(problems, found...); len(problems) > 0 {
+		return nil, &FolderError{Problems: problems}
+	}
+	return merged, nil
+}
--- a/pkg/transport/admin/client.go
+++ b/pkg/transport/admin/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -70,10 +71,16 @@
 	return nil
 }
 
+// RefusedError is an instance's own refusal: what was asked was not done.
+type RefusedError struct{ Reason string }
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return e.Reason }
+
 func refusal(code int, data []byte) error {
 	var failure Failure
 	if json.Unmarshal(data, &failure) == nil && failure.Error != "" {
-		return errors.New(failure.Error)
+		return &RefusedError{Reason: failure.Error}
 	}
-	return errors.Errorf("status %d", code)
+	return &RefusedError{Reason: fmt.Sprintf("status %d", code)}
 }
