--- a/testbench/caller/caller.go
+++ b/testbench/caller/caller.go
@@ -179,6 +179,7 @@
 	if err != nil {
 		op.Error = err.Error()
 		op.Code = CodeOf(err)
+		op.RetryAfter = RetryAfter(err)
 	}
 	op.End = time.Now()
 	s.Log.Add(op)
--- a/testbench/cluster/cluster.go
+++ b/testbench/cluster/cluster.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/url"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 
@@ -160,17 +159,6 @@
 // PlatformAddress returns the platform's address, past all proxies.
 func (c *Cluster) PlatformAddress() string { return c.platformAddress }
 
-// Ctl runs gypsumctl and returns its output and exit code.
-func (c *Cluster) Ctl(ctx context.Context, args ...string) (string, int, error) {
-	command := exec.CommandContext(ctx, c.binaries.Gypsumctl, args...)
-	output, err := command.CombinedOutput()
-	var exit *exec.ExitError
-	if errors.As(err, &exit) {
-		return string(output), exit.ExitCode(), nil
-	}
-	return string(output), 0, err
-}
-
 // WaitReady waits until every running instance takes callers.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for _, i := range c.Instances {
--- /dev/null
+++ b/testbench/cluster/ctl.go
@@ -0,0 +1,35 @@
+package cluster
+
+import (
+	"context"
+	"os/exec"
+
+	"github.com/go-faster/errors"
+)
+
+// Ctl runs gypsumctl and returns its output and exit code.
+func (c *Cluster) Ctl(ctx context.Context, args ...string) (string, int, error) {
+	command := exec.CommandContext(ctx, c.binaries.Gypsumctl, args...)
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return string(output), exit.ExitCode(), nil
+	}
+	return string(output), 0, err
+}
+
+// Apply applies the operators' folder and waits until all instances are ready.
+func (c *Cluster) Apply(ctx context.Context) error {
+	output, code, err := c.Ctl(ctx, c.applyArgs(c.Folder)...)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return errors.Errorf("gypsumctl apply exited with %d: %s", code, output)
+	}
+	return c.WaitReady(ctx)
+}
+
+func (c *Cluster) applyArgs(folder string) []string {
+	return []string{"apply", "--platform", c.platformAddress, "--region", c.options.Profile.Region, folder}
+}
--- a/testbench/cluster/instance.go
+++ b/testbench/cluster/instance.go
@@ -14,32 +14,6 @@
 	"gypsumdock/testbench/platformd"
 )
 
-// Tuning holds the settings of all instances that tests change.
-type Tuning struct {
-	PermitLifetime time.Duration
-	PermitDrift    time.Duration
-	ReadInterval   time.Duration
-	ProbeInterval  time.Duration
-	ProbeTimeout   time.Duration
-	DetectAfter    time.Duration
-	DrainTimeout   time.Duration
-	LogLevel       string
-}
-
-// DefaultTuning has the default settings of an instance.
-func DefaultTuning() Tuning {
-	return Tuning{
-		PermitLifetime: 3 * time.Second,
-		PermitDrift:    200 * time.Millisecond,
-		ReadInterval:   500 * time.Millisecond,
-		ProbeInterval:  250 * time.Millisecond,
-		ProbeTimeout:   500 * time.Millisecond,
-		DetectAfter:    time.Second,
-		DrainTimeout:   15 * time.Second,
-		LogLevel:       "info",
-	}
-}
-
 // Instance is a process of gypsumdock. Process is replaced by Restart.
 type Instance struct {
 	*Process
@@ -66,7 +40,11 @@
 		return nil, err
 	}
 	i.settings = filepath.Join(c.dir, i.ID+".toml")
-	if err := os.WriteFile(i.settings, []byte(c.settingsOf(i)), 0o644); err != nil {
+	text, err := c.settingsOf(i)
+	if err != nil {
+		return nil, err
+	}
+	if err = os.WriteFile(i.settings, text, 0o644); err != nil {
 		return nil, err
 	}
 	process, err := start(i.ID, filepath.Join(c.dir, i.ID+".log"), nil, c.binaries.Gypsumdock, "--settings", i.settings)
@@ -119,48 +97,6 @@
 	return p, err
 }
 
-func (c *Cluster) settingsOf(i *Instance) string {
-	t := c.options.Tuning
-	return fmt.Sprintf(`[instance]
-id = %q
-region = %q
-data_centre = %q
-
-[callers]
-listen = %q
-
-[mesh]
-listen = %q
-advertise = %q
-
-[platform]
-address = %q
-timeout = "1s"
-
-[admin]
-listen = %q
-
-[permits]
-lifetime = %q
-drift = %q
-read_interval = %q
-
-[failover]
-probe_interval = %q
-probe_timeout = %q
-detect_after = %q
-
-[stop]
-drain_timeout = %q
-
-[log]
-level = %q
-`,
-		i.ID, c.options.Profile.Region, i.DataCentre, i.Callers, i.Mesh, i.ToMesh.Address(),
-		i.ToPlatform.Address(), i.Admin, t.PermitLifetime, t.PermitDrift, t.ReadInterval,
-		t.ProbeInterval, t.ProbeTimeout, t.DetectAfter, t.DrainTimeout, t.LogLevel)
-}
-
 // Ready reports whether the instance says that it takes callers.
 func (i *Instance) Ready(ctx context.Context) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Admin+"/readyz", nil)
--- a/testbench/history/history.go
+++ b/testbench/history/history.go
@@ -81,6 +81,8 @@
 	Code string `json:"code,omitempty"`
 	// Error is the text of a failure.
 	Error string `json:"error,omitempty"`
+	// RetryAfter is when the caller was told to come back.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// Start and End bound the operation.
 	Start time.Time `json:"start"`
 	End   time.Time `json:"end"`
