--- /dev/null
+++ b/testbench/path/path_test.go
@@ -0,0 +1,70 @@
+// Package path_test serves a stock PostgreSQL client through separate
+// processes, from end to end.
+package path_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/testbench/cluster"
+	"gypsumdock/testbench/profile"
+)
+
+func TestPath(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "path")
+}
+
+const startWait = 30 * time.Second
+
+func startCluster(ctx context.Context) *cluster.Cluster {
+	c, err := cluster.Start(ctx, cluster.Options{
+		Profile: profile.Tregwynt(), Instances: 4, Tuning: cluster.DefaultTuning(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Stop)
+	output, code, err := c.Ctl(ctx, "--platform", c.PlatformAddress(), "--region", c.Profile().Region, "apply", c.Folder)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(code).To(BeZero(), output)
+	ready, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	Expect(c.WaitReady(ready)).To(Succeed())
+	return c
+}
+
+func connect(ctx context.Context, c *cluster.Cluster, instance int) *pgx.Conn {
+	caller := c.Profile().Callers[0]
+	dsn := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
+		caller.Name, caller.Password, c.Instances[instance].Callers, c.Profile().Groups[0].Database)
+	conn, err := pgx.Connect(ctx, dsn)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+var _ = Describe("a stock client", Ordered, func() {
+	var c *cluster.Cluster
+
+	BeforeAll(func(ctx SpecContext) { c = startCluster(ctx) })
+
+	It("writes through one instance and reads its write through every other", func(ctx SpecContext) {
+		writer := connect(ctx, c, 0)
+		Eventually(func() error {
+			_, err := writer.Exec(ctx, "INSERT INTO records(key, value) VALUES ($1, $2)", "box-1", "plug-7")
+			return err
+		}).WithTimeout(startWait).Should(Succeed())
+		for i := range c.Instances {
+			var value string
+			reader := connect(ctx, c, i)
+			row := reader.QueryRow(ctx, "SELECT value FROM records WHERE key = $1", "box-1")
+			Expect(row.Scan(&value)).To(Succeed())
+			Expect(value).To(Equal("plug-7"))
+		}
+	})
+})
