--- a/testbench/path/path_test.go
+++ b/testbench/path/path_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumdock/testbench/cluster"
 	"gypsumdock/testbench/profile"
+	"gypsumdock/testbench/upstreamd"
 )
 
 func TestPath(t *testing.T) {
@@ -67,4 +68,23 @@
 			Expect(value).To(Equal("plug-7"))
 		}
 	})
+
+	It("takes writes again after the primary was killed", func(ctx SpecContext) {
+		group := c.Profile().Groups[0]
+		before, err := c.Primary(ctx, group.ID)
+		Expect(err).NotTo(HaveOccurred())
+		fault := upstreamd.Fault{Group: group.ID, Upstream: before, Action: upstreamd.ActionKill}
+		Expect(c.Upstreams.Apply(ctx, fault)).To(Succeed())
+		killed := time.Now()
+		Eventually(func() error {
+			conn := connect(ctx, c, 1)
+			_, err := conn.Exec(ctx, "INSERT INTO records(key, value) VALUES ($1, $2)", "box-2", "plug-8")
+			return err
+		}).WithTimeout(startWait).Should(Succeed())
+		AddReportEntry("failover gap", time.Since(killed))
+		GinkgoWriter.Println("failover gap", time.Since(killed))
+		after, err := c.Primary(ctx, group.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).NotTo(Equal(before))
+	})
 })
