Keep a statement undefined after its Parse failed

The Sync that ends a failed batch counted as an answered entry, so that the statements before it stayed defined and the same name could not be prepared again. Answers after an error are no longer counted.

--- a/pkg/transport/pgfront/startup.go
+++ b/pkg/transport/pgfront/startup.go
@@ -313,7 +313,7 @@
 
 // Bounds of what is read from a caller after a fatal error.
 const (
-	lingerTimeout = time.Second
+	lingerTimeout = 250 * time.Millisecond
 	lingerBytes   = 64 << 20
 )
 
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -163,7 +163,8 @@
 	// pending are the answers to come, from head on.
 	pending []expected
 	head    int
-	// confirmed counts the entries of the batch whose answer has come.
+	// confirmed counts the entries of the batch whose answer has come before
+	// any error.
 	confirmed int
 	// errored is true once the upstream has reported an error.
 	errored bool
@@ -202,7 +203,7 @@
 
 func (x *exchange) pop() {
 	e := x.next()
-	if e.entry != nil && !e.swallow {
+	if e.entry != nil && !e.swallow && !x.errored {
 		x.confirmed = e.index + 1
 	}
 	x.head++
--- a/pkg/transport/pgfront/upstream_test.go
+++ b/pkg/transport/pgfront/upstream_test.go
@@ -30,7 +30,10 @@
 	nextPID  uint32
 	// onCancel, where set, delays a cancel request.
 	onCancel func()
-	quiet    bool
+	// hold is what "select pause" waits for; inPause is true meanwhile.
+	hold    chan struct{}
+	inPause atomic.Bool
+	quiet   bool
 }
 
 const upstreamPassword = "upstream secret"
@@ -44,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{listener: listener, verifier: verifier, conns: make(map[uint32]*upstreamConn)}
+	u := &upstream{listener: listener, verifier: verifier, conns: make(map[uint32]*upstreamConn), hold: make(chan struct{})}
 	u.lsn.Store(0x100)
 	go u.serve()
 	return u, nil
@@ -100,6 +103,11 @@
 	return len(u.conns)
 }
 
+// paused reports whether a statement waits for resume.
+func (u *upstream) paused() bool { return u.inPause.Load() }
+
+func (u *upstream) resume() { close(u.hold) }
+
 // upstreamConn is one connection of the database.
 type upstreamConn struct {
 	upstream *upstream
@@ -112,6 +120,9 @@
 	skipping bool
 	setting  string
 	cancel   chan struct{}
+	// busy is true while a statement runs; a cancel request of an idle
+	// connection has no effect.
+	busy atomic.Bool
 }
 
 func (c *upstreamConn) run() {
@@ -201,6 +212,9 @@
 	if c == nil {
 		return
 	}
+	if !c.busy.Load() {
+		return
+	}
 	select {
 	case c.cancel <- struct{}{}:
 	default:
@@ -318,6 +332,8 @@
 
 // execute runs one statement and reports whether the connection goes on.
 func (c *upstreamConn) execute(query string) bool {
+	c.busy.Store(true)
+	defer c.busy.Store(false)
 	c.upstream.record(query)
 	words := strings.Fields(strings.ToLower(query) + " -")
 	if c.status == 'E' && words[0] != "rollback" && words[0] != "commit" {
@@ -379,6 +395,9 @@
 			return c.fail("57014")
 		case <-time.After(upstreamWait):
 		}
+	case "pause":
+		c.upstream.inPause.Store(true)
+		<-c.upstream.hold
 	case "die":
 		return false
 	}
--- /dev/null
+++ b/pkg/transport/pgfront/verdict_test.go
@@ -0,0 +1,253 @@
+package pgfront_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/pgfront"
+	"gypsumdock/pkg/verdict"
+)
+
+var _ = Describe("the verdict that a caller gets", func() {
+	var (
+		b   *bench
+		ctx = context.Background()
+	)
+
+	BeforeEach(func() { b = newBench(2, nil) })
+
+	DescribeTable("is may have run for a write whose upstream is lost, and the write is not sent again",
+		func(adjust func(*pgx.ConnConfig)) {
+			conn := b.connect(adjust)
+			_, err := conn.Exec(ctx, "die $1", "now")
+			Expect(stateOf(err)).To(Equal("08007"))
+			Expect(queryText(conn, "select on")).To(Equal("on"))
+			Expect(b.upstream.log()).To(HaveLen(2))
+			Expect(b.engine.Open()).To(BeZero())
+		},
+		Entry("extended", nil),
+		Entry("simple", simpleProtocol),
+	)
+
+	It("is a second try for a read whose upstream is lost before any answer", func() {
+		conn := b.connect(simpleProtocol)
+		_, err := conn.Exec(ctx, "select die")
+		Expect(stateOf(err)).To(Equal("08007"))
+		Expect(b.upstream.log()).To(Equal([]string{"select die", "select die", "select die"}))
+	})
+
+	It("is one try for a read that may run at most once", func() {
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			t.Route = &bundle.Route{AtMostOnce: true}
+			return nil
+		}
+		conn := b.connect(simpleProtocol)
+		_, err := conn.Exec(ctx, "select die")
+		Expect(stateOf(err)).To(Equal("08007"))
+		Expect(b.upstream.log()).To(HaveLen(1))
+	})
+
+	It("is an error, never a result, when an answer breaks off", func() {
+		conn := b.connect(nil)
+		rows, err := conn.Query(ctx, "select half 5000")
+		Expect(err).NotTo(HaveOccurred())
+		for rows.Next() {
+		}
+		Expect(stateOf(rows.Err())).To(Equal("08007"))
+		Expect(queryText(conn, "select $1", "on")).To(Equal("on"))
+	})
+
+	It("is not run, and nothing is sent, when the engine refuses to send", func() {
+		tries := atomic.Int32{}
+		b.engine.OnMaySend = func(*traffic.Ticket) *verdict.Error {
+			tries.Add(1)
+			return verdict.New(verdict.NoPermit, verdict.NotRun, "no permit").WithRetryAfter(time.Second)
+		}
+		conn := b.connect(nil)
+		_, err := conn.Exec(ctx, "insert $1", "a")
+		Expect(stateOf(err)).To(Equal("25006"))
+		var pgError *pgconn.PgError
+		Expect(errors.As(err, &pgError)).To(BeTrue())
+		Expect(pgError.Detail).To(Equal("The request was not run. Retry after 1000 ms."))
+		Expect(b.upstream.log()).To(BeEmpty())
+		Expect(b.engine.Open()).To(BeZero())
+	})
+
+	DescribeTable("replaces the answer to a write that the engine does not acknowledge",
+		func(adjust func(*pgx.ConnConfig), sql string, argument ...any) {
+			b.engine.OnAcknowledge = func(*traffic.Ticket, model.LSN) *verdict.Error {
+				return verdict.New(verdict.PermitLapsed, verdict.MayHaveRun, "the permit lapsed")
+			}
+			conn := b.connect(adjust)
+			tag, err := conn.Exec(ctx, sql, argument...)
+			Expect(stateOf(err)).To(Equal("08007"))
+			Expect(tag.String()).To(BeElementOf("", "BEGIN"))
+			Expect(queryText(conn, "select on")).To(Equal("on"))
+			Expect(b.engine.Marks()).To(HaveLen(1))
+		},
+		Entry("extended", nil, "insert $1", "a"),
+		Entry("simple", simpleProtocol, "insert a"),
+		Entry("with rows", nil, "insert $1 returning id", "a"),
+		Entry("in one text with its transaction", simpleProtocol, "begin; insert a; commit"),
+		Entry("several statements", simpleProtocol, "insert a; insert b"),
+	)
+
+	It("replaces the answer to a commit", func() {
+		b.engine.OnAcknowledge = func(*traffic.Ticket, model.LSN) *verdict.Error {
+			return verdict.New(verdict.PermitLapsed, verdict.MayHaveRun, "the permit lapsed")
+		}
+		conn := b.connect(nil)
+		tx, err := conn.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(ctx, "insert $1", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stateOf(tx.Commit(ctx))).To(Equal("08007"))
+	})
+
+	It("acknowledges with the position that the commit has reached", func() {
+		conn := b.connect(nil)
+		_, err := conn.Exec(ctx, "insert $1", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.engine.Marks()).To(Equal([]model.LSN{0x110}))
+		Expect(queryText(conn, "select $1", "x")).To(Equal("x"))
+		Expect(b.engine.Marks()).To(HaveLen(1))
+	})
+
+	It("acknowledges a write on a route that promised to be read-only", func() {
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			t.Route = &bundle.Route{ReadOnly: true}
+			return nil
+		}
+		conn := b.connect(nil)
+		_, err := conn.Exec(ctx, "insert $1", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.engine.Marks()).To(HaveLen(1))
+	})
+
+	It("comes at the deadline, and the connection is not used again", func() {
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			if t.Statement.Tag == "short" {
+				t.Deadline = time.Now().Add(50 * time.Millisecond)
+			}
+			return nil
+		}
+		conn := b.connect(simpleProtocol)
+		_, err := conn.Exec(ctx, "select wait /*route='short'*/")
+		Expect(stateOf(err)).To(Equal("08007"))
+		Expect(queryText(conn, "select next")).To(Equal("next"))
+		Expect(b.upstream.accepted.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("aborts a transaction that is idle past its deadline", func() {
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			t.Deadline = time.Now().Add(50 * time.Millisecond)
+			return nil
+		}
+		conn := b.connect(nil)
+		tx, err := conn.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(ctx, "insert a")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(b.engine.Open).Should(BeZero())
+		_, err = tx.Exec(ctx, "insert b")
+		Expect(stateOf(err)).To(Equal("57014"))
+		Expect(tx.Commit(ctx)).To(MatchError(pgx.ErrTxCommitRollback))
+		Expect(b.upstream.log()).To(Equal([]string{"begin", "insert a"}))
+	})
+
+	It("is too large for an answer that can't be held back", func() {
+		small := newBench(1, func(c *pgfront.Config) { c.MaxHeld = 1000 })
+		conn := small.connect(simpleProtocol)
+		_, err := conn.Exec(ctx, "insert a; select rows 100")
+		Expect(stateOf(err)).To(Equal("08007"))
+		Expect(small.engine.Open()).To(BeZero())
+	})
+})
+
+var _ = Describe("a caller that vanishes", func() {
+	It("leaves no transaction, connection or ticket behind", func() {
+		b := newBench(1, nil)
+		ctx := context.Background()
+		conn := b.connect(nil)
+		_, err := conn.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Exec(ctx, "insert a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.PgConn().Conn().Close()).To(Succeed())
+		Eventually(b.engine.Open).Should(BeZero())
+		Eventually(b.upstream.open).Should(BeZero())
+		Expect(b.upstream.log()).To(Equal([]string{"begin", "insert a"}))
+		other := b.connect(nil)
+		Expect(queryText(other, "select $1", "on")).To(Equal("on"))
+	})
+})
+
+var _ = Describe("a cancel request", func() {
+	It("ends the caller's own statement", func() {
+		b := newBench(1, nil)
+		conn := b.connect(simpleProtocol)
+		done := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(context.Background(), "select wait")
+			done <- err
+		}()
+		Eventually(b.upstream.log).Should(ContainElement("select wait"))
+		Expect(conn.PgConn().CancelRequest(context.Background())).To(Succeed())
+		Expect(stateOf(<-done)).To(Equal("57014"))
+		Expect(queryText(conn, "select on")).To(Equal("on"))
+	})
+
+	It("reaches no later statement on the same connection", func() {
+		b := newBench(1, nil)
+		arrived := make(chan struct{})
+		proceed := make(chan struct{})
+		var once sync.Once
+		b.upstream.onCancel = func() {
+			once.Do(func() {
+				close(arrived)
+				<-proceed
+			})
+		}
+		first := b.connect(simpleProtocol)
+		second := b.connect(simpleProtocol)
+		firstDone := make(chan error, 1)
+		go func() {
+			_, err := first.Exec(context.Background(), "select pause")
+			firstDone <- err
+		}()
+		Eventually(b.upstream.paused).Should(BeTrue())
+		go func() { _ = first.PgConn().CancelRequest(context.Background()) }()
+		Eventually(arrived).Should(BeClosed())
+		b.upstream.resume()
+		secondDone := make(chan error, 1)
+		go func() {
+			_, err := second.Exec(context.Background(), "select wait")
+			secondDone <- err
+		}()
+		Consistently(b.upstream.log, "50ms").ShouldNot(ContainElement("select wait"))
+		close(proceed)
+		Expect(<-firstDone).NotTo(HaveOccurred())
+		Eventually(b.upstream.log).Should(ContainElement("select wait"))
+		Consistently(secondDone, "50ms").ShouldNot(Receive())
+		Expect(second.PgConn().CancelRequest(context.Background())).To(Succeed())
+		Expect(stateOf(<-secondDone)).To(Equal("57014"))
+	})
+
+	It("with another's key does nothing", func() {
+		b := newBench(1, nil)
+		conn := b.connect(simpleProtocol)
+		id := conn.PgConn().PID()
+		Expect(b.server.Cancel(context.Background(), id, []byte{0, 0, 0, 0})).To(BeFalse())
+	})
+})
