--- a/testbench/caller/caller.go
+++ b/testbench/caller/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net/url"
 	"regexp"
@@ -40,6 +41,8 @@
 	Routes profile.Routes
 	// Log gets every operation.
 	Log *history.Log
+	// Anonymous names each connection anew, in place of the session.
+	Anonymous bool
 
 	conns map[string]*pgx.Conn
 	// number is that of the last write.
@@ -82,7 +85,11 @@
 		}
 		s.drop(at)
 	}
-	conn, err := Dial(ctx, to, s.Caller, s.Name)
+	name := s.Name
+	if s.Anonymous {
+		name = rand.Text()
+	}
+	conn, err := Dial(ctx, to, s.Caller, name)
 	if err != nil {
 		return nil, err
 	}
--- a/testbench/cluster/ctl.go
+++ b/testbench/cluster/ctl.go
@@ -20,7 +20,7 @@
 
 // Apply applies the operators' folder and waits until all instances are ready.
 func (c *Cluster) Apply(ctx context.Context) error {
-	output, code, err := c.Ctl(ctx, c.applyArgs(c.Folder)...)
+	output, code, err := c.ApplyFolder(ctx, c.Folder)
 	if err != nil {
 		return err
 	}
@@ -30,6 +30,18 @@
 	return c.WaitReady(ctx)
 }
 
-func (c *Cluster) applyArgs(folder string) []string {
-	return []string{"apply", "--platform", c.platformAddress, "--region", c.options.Profile.Region, folder}
+// ApplyFolder applies a folder with further options and returns the output and
+// exit code of gypsumctl.
+func (c *Cluster) ApplyFolder(ctx context.Context, folder string, options ...string) (string, int, error) {
+	return c.Ctl(ctx, append(append(c.applyArgs(), options...), folder)...)
+}
+
+func (c *Cluster) applyArgs() []string {
+	args := []string{"apply", "--platform", c.platformAddress, "--region", c.options.Profile.Region}
+	for _, i := range c.Instances {
+		if !i.Exited() {
+			args = append(args, "--instance", i.Admin)
+		}
+	}
+	return args
 }
--- a/testbench/cluster/instance.go
+++ b/testbench/cluster/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -111,6 +112,37 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Status is the part of an instance's status that tests look at.
+type Status struct {
+	State    string        `json:"state"`
+	Revision uint64        `json:"revision"`
+	Digest   string        `json:"digest"`
+	Groups   []GroupStatus `json:"groups"`
+}
+
+// GroupStatus is an instance's view of a group.
+type GroupStatus struct {
+	ID          string `json:"id"`
+	Generation  uint64 `json:"generation"`
+	Primary     string `json:"primary"`
+	WritePermit bool   `json:"write_permit"`
+}
+
+// Status asks the instance for its status.
+func (i *Instance) Status(ctx context.Context) (Status, error) {
+	var status Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Admin+"/status", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
 // readyPoll is the pause between two questions whether an instance is ready.
 const readyPoll = 20 * time.Millisecond
 
--- a/testbench/cluster/settings.go
+++ b/testbench/cluster/settings.go
@@ -46,7 +46,7 @@
 	sections := map[string]section{
 		"instance": {"id": i.ID, "region": c.options.Profile.Region, "data_centre": i.DataCentre},
 		"callers":  {"listen": i.Callers},
-		"mesh":     {"listen": i.Mesh, "advertise": i.ToMesh.Address()},
+		"mesh":     {"listen": i.Mesh, "advertise": i.ToMesh.Address(), "peers": c.peers()},
 		"platform": {"address": i.ToPlatform.Address(), "timeout": "1s"},
 		"admin":    {"listen": i.Admin},
 		"permits": {
@@ -68,6 +68,17 @@
 	return toml.Marshal(sections)
 }
 
+// peers returns the mesh addresses of the instances that run.
+func (c *Cluster) peers() []string {
+	addresses := []string{}
+	for _, i := range c.Instances {
+		if !i.Exited() {
+			addresses = append(addresses, i.ToMesh.Address())
+		}
+	}
+	return addresses
+}
+
 // set applies "section.key=value"; a value that is a number stays one.
 func set(sections map[string]section, extra string) error {
 	path, value, hasValue := strings.Cut(extra, "=")
--- /dev/null
+++ b/testbench/promises/deposed_test.go
@@ -0,0 +1,61 @@
+package promises_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/testbench/faultproxy"
+	"gypsumdock/testbench/upstreamd"
+)
+
+var _ = Describe("no write is acknowledged by a primary that was replaced", func() {
+	It("that froze with writes in flight and came back", func(ctx context.Context) {
+		w := start(ctx, quick())
+		running := w.run(ctx, nil)
+		awaitWrites(running)
+		old := w.group().Upstreams[0].ID
+		w.upstream(ctx, old, upstreamd.ActionFreeze)
+		w.awaitPrimary(ctx, old)
+		awaitWrites(running)
+		w.upstream(ctx, old, upstreamd.ActionThaw)
+		awaitWrites(running)
+		w.check(ctx, running)
+	})
+
+	It("that was cut off, in one direction and then in both", func(ctx context.Context) {
+		w := start(ctx, quick())
+		running := w.run(ctx, nil)
+		awaitWrites(running)
+		old := w.group().Upstreams[0].ID
+		w.ToUpstream(old).Silence(faultproxy.ToClient)
+		w.upstream(ctx, old, upstreamd.ActionCutReplication)
+		next := w.awaitPrimary(ctx, old)
+		awaitWrites(running)
+		w.ToUpstream(next).Silence(faultproxy.ToClient)
+		w.ToUpstream(next).Silence(faultproxy.ToServer)
+		w.ToUpstream(old).Heal()
+		w.awaitPrimary(ctx, next)
+		awaitWrites(running)
+		w.ToUpstream(next).Heal()
+		awaitWrites(running)
+		w.check(ctx, running)
+	})
+
+	It("when an instance was paused past its permit and goes on", func(ctx context.Context) {
+		w := start(ctx, quick())
+		running := w.run(ctx, nil)
+		awaitWrites(running)
+		old := w.group().Upstreams[0].ID
+		paused := w.Instances[0]
+		Expect(paused.Freeze()).To(Succeed())
+		w.ToUpstream(old).Silence(faultproxy.ToClient)
+		w.ToUpstream(old).Silence(faultproxy.ToServer)
+		w.awaitPrimary(ctx, old)
+		w.ToUpstream(old).Heal()
+		Expect(paused.Thaw()).To(Succeed())
+		awaitWrites(running)
+		w.check(ctx, running)
+	})
+})
