--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -89,6 +90,7 @@
 func (m *Machine) followGroup(g *group, gh model.GroupHead) {
 	g.permit.follow(gh.Generation)
 	if g.seal.generation < gh.Generation {
+		m.reportStart(g, gh)
 		g.startGeneration(m.now, gh.Generation)
 	}
 	if gh.Seal == nil {
@@ -107,6 +109,13 @@
 	m.stopFor(g, gh.Generation, gh.Seal.Planned)
 }
 
+// reportStart reports a generation that follows one that this instance knew.
+func (m *Machine) reportStart(g *group, gh model.GroupHead) {
+	if g.seal.generation != 0 {
+		m.report(ReportGenerationStarted, g.id, fmt.Sprintf("generation %d on %s", gh.Generation, gh.Primary))
+	}
+}
+
 // startGeneration forgets what belonged to older generations.
 func (g *group) startGeneration(now time.Duration, generation model.Generation) {
 	g.seal = sealRecord{generation: generation, confirmed: map[model.InstanceID]bool{}}
--- a/pkg/state/failover/head.go
+++ b/pkg/state/failover/head.go
@@ -87,8 +87,10 @@
 	if m.head != nil && head.Version < m.head.Version && !m.cfg.Rules.AcceptOldHead {
 		return
 	}
+	if m.head != nil {
+		m.reportMembers(m.head, head)
+	}
 	m.head = head
-	m.learnedAt = m.now
 	m.headFresh = 0
 	m.tracker.SetMembers(m.now, head.Members)
 	m.member.follow(m)
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -20,8 +20,6 @@
 	head *model.Head
 	// headFresh is the start of the newest table read that found head.
 	headFresh time.Duration
-	// learnedAt is when head was adopted.
-	learnedAt time.Duration
 	reads     reads
 	writes    writes
 	promises  promises
--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -32,6 +32,20 @@
 	learnedAt time.Duration
 }
 
+// reportMembers reports the differences between two rows' members.
+func (m *Machine) reportMembers(before, after *model.Head) {
+	for _, member := range after.Members {
+		if _, known := before.Member(member.ID); !known {
+			m.report(ReportMemberJoined, "", string(member.ID))
+		}
+	}
+	for _, member := range before.Members {
+		if _, still := after.Member(member.ID); !still {
+			m.report(ReportMemberRemoved, "", string(member.ID))
+		}
+	}
+}
+
 // follow brings the record in line with the newest known row.
 func (s *membership) follow(m *Machine) {
 	s.followOwn(m)
@@ -151,7 +165,6 @@
 			continue
 		}
 		changes.add(func(head *model.Head) { removeMember(head, member.ID) })
-		m.report(ReportMemberRemoved, "", string(member.ID))
 	}
 }
 
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -34,7 +34,11 @@
 }
 
 func (m *Machine) reportSeal(g *group, gh model.GroupHead) {
-	m.report(ReportSealed, g.id, string(gh.Seal.Candidate))
+	kind := ReportSealed
+	if gh.Seal.Planned {
+		kind = ReportSwitchStarted
+	}
+	m.report(kind, g.id, string(gh.Seal.Candidate))
 }
 
 // decideSeal seals an open group whose primary is lost, or that is to be
--- /dev/null
+++ b/pkg/state/failover/search/faults_test.go
@@ -0,0 +1,223 @@
+package search_test
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+const (
+	faultsFrom = 4 * time.Second
+	faultsTo   = 16 * time.Second
+	healBound  = 22 * time.Second
+)
+
+// fault changes the world for a time.
+type fault func(w *world, lasts time.Duration)
+
+var faults = []fault{
+	killPrimary, killPrimary, killAnyServer, pauseNode, pauseNode, cutNode, cutNode, cutTable, tableDown, tableSlow,
+	badNetwork, killNode, joinNode, partition, partition, stickReplica, askSwitch, pausePromoter, pausePromoter,
+	cutPrimary, killCandidate, killCandidate,
+}
+
+// schedule plans the faults of a run.
+func (w *world) schedule() {
+	w.tellFollows = w.chance(0.5)
+	for range 2 + w.rng.IntN(5) {
+		chosen := faults[w.rng.IntN(len(faults))]
+		lasts := w.between(300*time.Millisecond, 9*time.Second)
+		w.after(w.between(faultsFrom, faultsTo), func() { chosen(w, lasts) })
+	}
+	w.after(faultsTo+4*time.Second, w.heal)
+}
+
+// heal ends all faults and replaces dead instances.
+func (w *world) heal() {
+	w.healed = true
+	w.table.down = false
+	w.table.lossy = 0
+	w.table.delayMax = 4 * time.Millisecond
+	w.net.loss = 0
+	w.net.repeat = 0
+	w.net.delayMax = 3 * time.Millisecond
+	w.net.cut = nil
+	w.net.cutDC = nil
+	for _, up := range w.ups {
+		up.alive = true
+		up.stuck = false
+		up.lag = 0
+	}
+	alive := 0
+	for _, n := range w.nodes {
+		n.noTable = false
+		n.noUpstream = map[model.UpstreamID]bool{}
+		n.pausedUntil = min(n.pausedUntil, w.now)
+		if !n.dead {
+			alive++
+		}
+	}
+	for range 4 - alive {
+		w.join()
+	}
+}
+
+func (w *world) anyNode() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
+
+func killPrimary(w *world, lasts time.Duration) {
+	up := w.server(w.table.group().Primary)
+	up.alive = false
+	if w.chance(0.5) {
+		w.after(lasts, func() { up.alive = true })
+	}
+}
+
+func killAnyServer(w *world, lasts time.Duration) {
+	up := w.ups[w.rng.IntN(len(w.ups))]
+	up.alive = false
+	w.after(lasts, func() { up.alive = true })
+}
+
+func (n *node) pause(lasts time.Duration) { n.pausedUntil = max(n.pausedUntil, n.w.now+lasts) }
+
+func pauseNode(w *world, lasts time.Duration) { w.anyNode().pause(lasts) }
+
+// pausePromoter pauses the node that has sealed, once it has.
+func pausePromoter(w *world, lasts time.Duration) {
+	w.server(w.table.group().Primary).alive = false
+	delay := w.between(0, 5*time.Second)
+	w.after(delay, func() {
+		for _, n := range w.nodes {
+			seal := w.table.group().Seal
+			if seal != nil && seal.By == n.id {
+				n.pause(lasts)
+			}
+		}
+	})
+}
+
+// killCandidate kills the primary, and the candidate around its promotion.
+func killCandidate(w *world, lasts time.Duration) {
+	w.server(w.table.group().Primary).alive = false
+	w.after(w.between(time.Second, 2*time.Second), func() {
+		seal := w.table.group().Seal
+		if seal == nil {
+			return
+		}
+		up := w.server(seal.Candidate)
+		up.alive = false
+		w.after(lasts, func() { up.alive = true })
+	})
+}
+
+func cutNode(w *world, lasts time.Duration) {
+	n := w.anyNode()
+	n.noTable = true
+	w.net.isolate(map[model.InstanceID]bool{n.id: true})
+	upstreams := w.chance(0.3)
+	for _, up := range w.ups {
+		n.noUpstream[up.id] = upstreams
+	}
+	w.after(lasts, func() { w.net.cut = nil })
+	w.after(w.between(lasts/2, 2*lasts), func() {
+		n.noTable = false
+		n.noUpstream = map[model.UpstreamID]bool{}
+	})
+}
+
+func cutTable(w *world, lasts time.Duration) {
+	n := w.anyNode()
+	n.noTable = true
+	w.after(lasts, func() { n.noTable = false })
+}
+
+func tableDown(w *world, lasts time.Duration) {
+	w.table.down = true
+	w.after(lasts, func() { w.table.down = false })
+}
+
+func tableSlow(w *world, lasts time.Duration) {
+	w.table.delayMax = w.between(100*time.Millisecond, 2*time.Second)
+	w.table.lossy = 0.2 * w.rng.Float64()
+	w.after(lasts, func() {
+		w.table.delayMax = 4 * time.Millisecond
+		w.table.lossy = 0
+	})
+}
+
+func badNetwork(w *world, lasts time.Duration) {
+	w.net.loss = 0.5 * w.rng.Float64()
+	w.net.repeat = 0.2
+	w.net.delayMax = w.between(20*time.Millisecond, time.Second)
+	w.after(lasts, func() {
+		w.net.loss = 0
+		w.net.repeat = 0
+		w.net.delayMax = 3 * time.Millisecond
+	})
+}
+
+func killNode(w *world, lasts time.Duration) {
+	w.anyNode().dead = true
+	if w.chance(0.7) {
+		w.after(lasts, func() { w.join() })
+	}
+}
+
+func joinNode(w *world, _ time.Duration) {
+	w.join()
+	if w.chance(0.5) {
+		w.join()
+	}
+}
+
+// partition splits the instances. One side keeps the table, the other the
+// primary.
+func partition(w *world, lasts time.Duration) {
+	side := map[model.InstanceID]bool{}
+	primary := w.table.group().Primary
+	for range w.rng.IntN(3) {
+		w.join()
+	}
+	for _, n := range w.nodes {
+		if w.chance(0.5) {
+			side[n.id] = true
+			n.noTable = true
+			continue
+		}
+		n.noUpstream[primary] = true
+	}
+	w.net.isolate(side)
+	w.after(lasts, func() {
+		w.net.cut = nil
+		for _, n := range w.nodes {
+			n.noTable = false
+			n.noUpstream = map[model.UpstreamID]bool{}
+		}
+	})
+}
+
+// cutPrimary puts the primary's data centre out of reach of the others.
+func cutPrimary(w *world, lasts time.Duration) {
+	cut := w.server(w.table.group().Primary).dc
+	w.net.cutDC = map[model.DataCentre]map[model.DataCentre]bool{}
+	for i := range 3 {
+		w.net.cutDC[dataCentre(i)] = map[model.DataCentre]bool{}
+		for j := range 3 {
+			w.net.cutDC[dataCentre(i)][dataCentre(j)] = i != j && (dataCentre(i) == cut || dataCentre(j) == cut)
+		}
+	}
+	w.after(lasts, func() { w.net.cutDC = nil })
+}
+
+func stickReplica(w *world, lasts time.Duration) {
+	up := w.ups[w.rng.IntN(len(w.ups))]
+	up.stuck = true
+	w.after(lasts, func() { up.stuck = false })
+}
+
+func askSwitch(w *world, _ time.Duration) {
+	target := w.ups[w.rng.IntN(len(w.ups))].id
+	n := w.anyNode()
+	n.deliver(func() { n.handle(failover.SwitchAsked{Group: groupID, Target: target}) })
+}
--- /dev/null
+++ b/pkg/state/failover/search/node_test.go
@@ -0,0 +1,213 @@
+package search_test
+
+import (
+	"fmt"
+	"time"
+
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+// node is an instance: a real machine, its clock and its traffic.
+type node struct {
+	w       *world
+	id      model.InstanceID
+	dc      model.DataCentre
+	machine *failover.Machine
+	view    failover.View
+	born    time.Duration
+	// rate is the speed of its clock.
+	rate        float64
+	pausedUntil time.Duration
+	dead        bool
+	noTable     bool
+	noUpstream  map[model.UpstreamID]bool
+}
+
+const (
+	maxClockError       = 0.01
+	searchMaxPromise    = 8 * time.Second
+	searchEvictAfter    = 6 * time.Second
+	timeBeforeFirstTick = 10 * time.Millisecond
+)
+
+// join starts a new instance.
+func (w *world) join() *node {
+	i := len(w.nodes)
+	n := &node{
+		w: w, id: model.InstanceID(fmt.Sprintf("i%02d", i+1)), dc: dataCentre(i), born: w.now - time.Second,
+		rate: 1 + maxClockError*(2*w.rng.Float64()-1), noUpstream: map[model.UpstreamID]bool{},
+	}
+	n.machine = failover.New(failover.Config{
+		Self:           model.Member{ID: n.id, DataCentre: n.dc, Address: "127.0.0.1:0"},
+		MaxPromiseTime: searchMaxPromise,
+		EvictAfter:     searchEvictAfter,
+		Rules:          w.rules,
+	})
+	w.nodes = append(w.nodes, n)
+	spec := failover.GroupSpec{ID: groupID}
+	for _, up := range w.ups {
+		spec.Upstreams = append(spec.Upstreams, failover.UpstreamSpec{ID: up.id, DataCentre: up.dc})
+	}
+	start := w.between(timeBeforeFirstTick, 10*timeBeforeFirstTick)
+	w.after(start, func() { n.handle(failover.BundleAdopted{Groups: []failover.GroupSpec{spec}}) })
+	n.every(start, tickInterval, func() { n.handle(failover.Tick{}) })
+	n.every(start, probeInterval, n.probeAll)
+	n.every(start, w.writeEvery, n.write)
+	n.every(start, listEvery, n.list)
+	return n
+}
+
+// every repeats run while the node lives and is not paused.
+func (n *node) every(start, interval time.Duration, run func()) {
+	n.w.after(start, func() {
+		if n.dead {
+			return
+		}
+		n.deliver(run)
+		n.every(max(interval, n.pausedUntil-n.w.now), interval, run)
+	})
+}
+
+// deliver runs an input now, or when the pause of the node ends.
+func (n *node) deliver(run func()) {
+	if n.dead {
+		return
+	}
+	if n.w.now < n.pausedUntil {
+		n.w.after(n.pausedUntil-n.w.now, func() { n.deliver(run) })
+		return
+	}
+	run()
+}
+
+// clock returns the node's monotonic time.
+func (n *node) clock() time.Duration {
+	return time.Duration(float64(n.w.now-n.born) * n.rate)
+}
+
+func (n *node) permit() (model.Generation, bool) {
+	if n.dead {
+		return 0, false
+	}
+	view, found := n.view.Group(groupID)
+	return view.Generation, found && n.clock() < view.PermitUntil
+}
+
+func (n *node) handle(event failover.Event) {
+	actions := n.machine.Handle(n.clock(), event)
+	n.view = n.machine.View()
+	n.w.checkOnePrimary(n)
+	n.w.checkReplicas(n)
+	for _, action := range actions {
+		n.do(action)
+	}
+}
+
+func (n *node) do(action failover.Action) {
+	switch a := action.(type) {
+	case failover.ReadHead:
+		n.w.table.read(n)
+	case failover.WriteHead:
+		n.w.table.write(n, a)
+	case failover.SendPeer:
+		n.w.net.send(n, a.To, a.Message)
+	case failover.Promote:
+		n.promote(a)
+	case failover.Report:
+		n.w.log = append(n.w.log, logEntry{at: n.w.now, node: n.id, report: a})
+	}
+}
+
+func (n *node) list() {
+	listed := failover.InstancesListed{}
+	for _, other := range n.w.nodes {
+		if !other.dead {
+			listed.Instances = append(listed.Instances, failover.ListedInstance{ID: other.id})
+		}
+	}
+	n.w.after(n.w.between(0, 2*listEvery), func() { n.deliver(func() { n.handle(listed) }) })
+}
+
+func (n *node) reaches(up *server) bool {
+	return up.alive && !n.noUpstream[up.id] && !n.w.net.cutDC[n.dc][up.dc]
+}
+
+func (n *node) probeAll() {
+	for _, up := range n.w.ups {
+		n.probe(up)
+	}
+}
+
+func (n *node) probe(up *server) {
+	result := failover.Probed{Group: groupID, Upstream: up.id, StartedAt: n.clock()}
+	n.w.after(n.w.net.delay(), func() {
+		back := n.w.net.delay()
+		if n.reaches(up) {
+			result.Reachable = true
+			result.Timeline = up.timeline
+			result.Recovering = up.recovering
+			result.LSN = up.lsn
+			if up.recovering && n.w.tellFollows && up.follows != nil {
+				result.Follows = up.follows.id
+			}
+		} else {
+			back = probeTimeout
+		}
+		n.w.after(back, func() { n.deliver(func() { n.handle(result) }) })
+	})
+}
+
+func (n *node) promote(a failover.Promote) {
+	current := n.w.table.group()
+	if current.Seal != nil && current.Seal.By == n.id && current.Seal.Candidate == a.Upstream {
+		n.w.checkNoPermitBelow(current.Seal.Next, "its successor is promoted")
+	}
+	up := n.w.server(a.Upstream)
+	answer := failover.Promoted{Group: a.Group, Upstream: a.Upstream, Next: a.Next}
+	n.w.after(n.w.net.delay(), func() {
+		if !n.reaches(up) {
+			n.w.after(probeTimeout, func() { n.deliver(func() { n.handle(answer) }) })
+			return
+		}
+		n.w.after(n.w.between(20*time.Millisecond, 60*time.Millisecond), func() {
+			n.w.promoteServer(up)
+			answer.OK = true
+			answer.Timeline = up.timeline
+			answer.StartLSN = up.startLSN
+			if n.w.net.isLost() {
+				return
+			}
+			n.w.after(n.w.net.delay(), func() { n.deliver(func() { n.handle(answer) }) })
+		})
+	})
+}
+
+// write sends a write if the node holds a permit, and acknowledges it if it
+// still does when the answer comes.
+func (n *node) write() {
+	view, found := n.view.Group(groupID)
+	if !found || view.Sealed || n.clock() >= view.PermitUntil {
+		return
+	}
+	up := n.w.server(view.Primary)
+	n.w.after(n.w.net.delay(), func() {
+		if !n.reaches(up) || up.recovering {
+			return
+		}
+		up.lsn += 10
+		done := ack{generation: view.Generation, branch: up.branch, lsn: up.lsn}
+		n.w.after(n.w.net.delay(), func() {
+			n.deliver(func() { n.acknowledge(up, done) })
+		})
+	})
+}
+
+func (n *node) acknowledge(up *server, done ack) {
+	generation, held := n.permit()
+	if !held || generation != done.generation || !n.reaches(up) {
+		return
+	}
+	done.at = n.w.now
+	n.w.checkAck(n, done)
+}
--- a/pkg/state/failover/switch.go
+++ b/pkg/state/failover/switch.go
@@ -88,7 +88,9 @@
 	}
 	late := m.now-g.seal.learnedAt >= m.cfg.SwitchWait
 	if late && healthy && !m.hasCaughtUp(g, gh, target) {
-		m.report(ReportSwitchRefused, g.id, "the target was late")
+		if m.writes.pending == nil {
+			m.report(ReportSwitchRefused, g.id, "the target was late")
+		}
 		return gh.Primary
 	}
 	return ""
