--- a/pkg/state/marks/search_test.go
+++ b/pkg/state/marks/search_test.go
@@ -223,7 +223,7 @@
 const stepsPerSchedule = 800
 
 // search runs schedules from fixed seeds until one violates a promise.
-func search(rules marks.Rules, schedules int) (found error, at int, served, warned int) {
+func search(rules marks.Rules, schedules int) (at, served, warned int, found error) {
 	for seed := range schedules {
 		random := rand.New(rand.NewPCG(uint64(seed), 4))
 		w := newWorld(random.IntN, rules)
@@ -231,15 +231,15 @@
 		served += w.served
 		warned += w.warned
 		if err != nil {
-			return err, seed, served, warned
+			return seed, served, warned, err
 		}
 	}
-	return nil, schedules, served, warned
+	return schedules, served, warned, nil
 }
 
 var _ = Describe("read-your-writes", func() {
 	It("holds over schedules of changing homes, lag, failover and lost messages", func() {
-		err, _, served, warned := search(marks.Rules{}, 20000)
+		_, served, warned, err := search(marks.Rules{}, 20000)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(served).To(BeNumerically(">", 10000))
 		Expect(warned).To(BeNumerically(">", 100))
@@ -249,7 +249,7 @@
 
 	DescribeTable("is violated with a rule switched off",
 		func(rules marks.Rules) {
-			err, at, _, _ := search(rules, 40000)
+			at, _, _, err := search(rules, 40000)
 			Expect(err).To(HaveOccurred())
 			AddReportEntry("first schedule with a violation", at)
 		},
