--- /dev/null
+++ b/pkg/state/admission/overload_test.go
@@ -0,0 +1,150 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/admission"
+	"gypsumdock/pkg/state/model"
+)
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+var deployments = []struct {
+	name string
+	base scenario
+}{
+	{"Tregwynt, 2 slots", scenario{slots: 2, connections: 16, oneWay: time.Millisecond}},
+	{"Lankapower, 5 slots", scenario{slots: 5, connections: 55, oneWay: 1500 * time.Microsecond}},
+}
+
+var policies = []struct {
+	name   string
+	policy policy
+}{{"none", direct}, {"share per instance", perShare}, {"adaptive", adaptive}, {"one ordering point", orderer}}
+
+var ruleSets = []struct {
+	name  string
+	rules admission.Rules
+}{
+	{"all rules", admission.Rules{}},
+	{"no fairness", admission.Rules{NoFairness: true}},
+	{"no nesting", admission.Rules{NoNesting: true}},
+	{"no prediction", admission.Rules{NoPrediction: true}},
+	{"none of the rules", admission.Rules{NoFairness: true, NoPrediction: true}},
+}
+
+func (sc scenario) at(load float64, p policy, rules admission.Rules, greedyOn int) result {
+	sc.load, sc.policy, sc.rules, sc.greedyOn = load, p, rules, greedyOn
+	sc.service = 8 * time.Millisecond
+	return simulate(sc)
+}
+
+// BenchmarkOverload prints the figures of docs/measurements/admission.md.
+func BenchmarkOverload(b *testing.B) {
+	report := func(b *testing.B, r result) {
+		b.ReportMetric(100*r.goodput, "%goodput")
+		b.ReportMetric(100*r.modestShare, "%modest-answered")
+		b.ReportMetric(r.modestP50.Seconds()*1000, "ms-p50")
+		b.ReportMetric(r.modestP99.Seconds()*1000, "ms-p99")
+		b.ReportMetric(r.attempts, "attempts")
+		b.ReportMetric(0, "ns/op")
+	}
+	for _, d := range deployments {
+		d.base.seconds = 120
+		for _, p := range policies {
+			for _, greedyOn := range []int{1, instances} {
+				for _, load := range []float64{1, 2} {
+					b.Run(fmt.Sprintf("%s/%s/greedy on %d/%.0fx", d.name, p.name, greedyOn, load), func(b *testing.B) {
+						report(b, d.base.at(load, p.policy, admission.Rules{}, greedyOn))
+					})
+				}
+			}
+		}
+		for _, rules := range ruleSets {
+			b.Run(fmt.Sprintf("%s/%s", d.name, rules.name), func(b *testing.B) {
+				report(b, d.base.at(2, orderer, rules.rules, instances))
+			})
+		}
+		d.base.hasty = true
+		b.Run(d.name+"/advice ignored", func(b *testing.B) {
+			report(b, d.base.at(2, orderer, admission.Rules{}, instances))
+		})
+	}
+}
+
+var _ = Describe("Queue under overload", func() {
+	for _, d := range deployments {
+		base := d.base
+		base.seconds = 20
+
+		It("keeps goodput and the modest callers, "+d.name, func() {
+			normal := base.at(1, orderer, admission.Rules{}, instances)
+			double := base.at(2, orderer, admission.Rules{}, instances)
+			Expect(double.goodput).To(BeNumerically(">=", 0.95*normal.goodput))
+			Expect(double.modestShare).To(BeNumerically(">", 0.99))
+		})
+
+		It("needs each of its rules, "+d.name, func() {
+			normal := base.at(1, orderer, admission.Rules{}, instances)
+			late := base.at(2, orderer, admission.Rules{NoPrediction: true}, instances)
+			Expect(late.goodput).To(BeNumerically("<", 0.95*normal.goodput))
+			unfair := base.at(2, orderer, admission.Rules{NoFairness: true}, instances)
+			Expect(unfair.modestShare).To(BeNumerically("<", 0.8))
+			flat := base.at(2, orderer, admission.Rules{NoNesting: true}, instances)
+			Expect(flat.modestShare).To(BeNumerically("<", 0.8))
+		})
+	}
+})
+
+var _ = Describe("Queue", func() {
+	var queue *admission.Queue
+
+	unit := func(id admission.UnitID, caller model.CallerName, at time.Duration) admission.Unit {
+		return admission.Unit{ID: id, Caller: caller, Owner: "i1", Arrived: at, Deadline: at + 100*time.Millisecond}
+	}
+
+	BeforeEach(func() {
+		config := admission.DefaultConfig(1)
+		config.MaxQueued = 2
+		queue = admission.New(config)
+	})
+
+	It("refuses the newest unit of the caller with most waiting when full", func() {
+		Expect(queue.Arrive(0, unit(1, "greedy", 0), 1)[0].Runs()).To(BeTrue())
+		Expect(queue.Arrive(0, unit(2, "greedy", 0), 1)).To(BeEmpty())
+		Expect(queue.Arrive(0, unit(3, "greedy", 0), 1)).To(BeEmpty())
+		outcomes := queue.Arrive(0, unit(4, "modest", 0), 1)
+		Expect(outcomes).To(HaveLen(1))
+		Expect(outcomes[0].ID).To(Equal(admission.UnitID(3)))
+		Expect(outcomes[0].Refusal.SafeToRetry()).To(BeTrue())
+		Expect(outcomes[0].Refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("takes back the slots of an instance that is gone, and lost releases", func() {
+		queue.Arrive(0, unit(1, "a", 0), 1)
+		queue.Arrive(0, unit(2, "b", 0), 1)
+		Expect(queue.Drop(0, "i1", 1)).To(BeEmpty())
+		Expect(queue.Running() + queue.Queued()).To(BeZero())
+		queue.Arrive(0, unit(3, "a", 0), 1)
+		queue.Expire(time.Minute, 1)
+		Expect(queue.Running()).To(BeZero())
+	})
+
+	It("remembers a bounded number of callers", func() {
+		for i := range 10000 {
+			id := admission.UnitID(i)
+			now := time.Duration(i) * time.Millisecond
+			queue.Arrive(now, unit(id, model.CallerName(fmt.Sprint(i)), now), 1)
+			queue.Release(now+time.Millisecond/2, id, 1)
+		}
+		Expect(queue.Callers()).To(BeNumerically("<", 100))
+	})
+})
