--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,6 +122,35 @@
 	})
 })
 
+var _ = Describe("the example", func() {
+	It("shows every key with its default", func() {
+		path := "../../examples/settings/instance.toml"
+		loaded, problems := settings.Load(path)
+		Expect(problems).To(BeEmpty())
+		expected := settings.Defaults()
+		expected.Instance.Region, expected.Instance.DataCentre = "cymru-south", "quay-east"
+		expected.Platform.Address = "127.0.0.1:9000"
+		Expect(loaded).To(Equal(expected))
+		text, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		var effective bytes.Buffer
+		Expect(loaded.WriteEffective(&effective)).To(Succeed())
+		Expect(keys(string(text))).To(Equal(keys(effective.String())))
+	})
+})
+
+// keys returns the table headers and the keys of TOML lines.
+func keys(text string) []string {
+	var all []string
+	for line := range strings.Lines(text) {
+		key, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if key != "" && key != "#" {
+			all = append(all, key)
+		}
+	}
+	return all
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
 	f.Add([]byte("[[instance]]\nid.x = {a = [1, {b = 2}]}\n"))
--- a/pkg/state/bundle/bundle_test.go
+++ b/pkg/state/bundle/bundle_test.go
@@ -208,6 +208,18 @@
 	Entry("lankapower", "lankapower", 5, 55),
 )
 
+var _ = Describe("the operators' page", func() {
+	It("shows a folder that is sound but for the verifier it leaves out", func() {
+		page, err := os.ReadFile("../../../docs/OPERATING.md")
+		Expect(err).NotTo(HaveOccurred())
+		_, rest, _ := strings.Cut(string(page), "```toml\n")
+		text, _, found := strings.Cut(rest, "```")
+		Expect(found).To(BeTrue())
+		_, problems := bundle.Merge(files(text))
+		Expect(lines(problems)).To(ConsistOf(ContainSubstring("caller[0].verifier")))
+	})
+})
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(groupFile), []byte(callerFile+routeFile))
 	f.Add([]byte(groupFile), []byte("leaving = [\"b\"]\n[[group]]\nid = \"plugs\"\nremove = true\n"))
