--- a/pkg/operator/command_test.go
+++ b/pkg/operator/command_test.go
@@ -102,6 +102,19 @@
 		Expect(line.run("apply", "--base", "0", "../../examples/lankapower")).To(Equal(ExitConflict))
 	})
 
+	It("keeps a tracked folder from undoing what another operator applied since", func() {
+		mine, other := GinkgoT().TempDir(), "../../examples/lankapower"
+		copyFolder(example, mine)
+		Expect(line.run("apply", "--track", mine)).To(Equal(ExitOK))
+		Expect(line.run("apply", other)).To(Equal(ExitOK))
+		Expect(line.run("apply", mine)).To(Equal(ExitConflict))
+		Expect(line.stderr.String()).To(ContainSubstring("revision 2 by ann came after revision 1"))
+		Expect(line.run("apply", "--base", "2", mine)).To(Equal(ExitOK))
+		Expect(line.run("apply", mine)).To(Equal(ExitOK))
+		Expect(os.WriteFile(filepath.Join(mine, baseFile), []byte("western-lk 3\n"), baseMode)).To(Succeed())
+		Expect(line.run("apply", mine)).To(Equal(ExitUsage))
+	})
+
 	It("switches a group and waits for the end", func() {
 		address := (&instance{}).listen()
 		Expect(line.run("--instance", address, "group", "switch", "plugs", "b")).To(Equal(ExitOK))
@@ -128,6 +141,16 @@
 	})
 })
 
+func copyFolder(from, to string) {
+	paths, err := filepath.Glob(filepath.Join(from, "*.toml"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(to, filepath.Base(path)), data, 0o600)).To(Succeed())
+	}
+}
+
 // logsIn runs a SCRAM conversation with the password.
 func logsIn(verifier bundle.Verifier, password string) bool {
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
--- a/pkg/operator/configuration.go
+++ b/pkg/operator/configuration.go
@@ -62,10 +62,11 @@
 }
 
 type applyCommand struct {
-	app  *app
-	Base *model.Revision `long:"base" value-name:"REVISION" description:"Apply only if this revision is in force"`
-	Note string          `long:"note" description:"Text for the history"`
-	Args folderArgument  `positional-args:"yes" required:"yes"`
+	app   *app
+	Base  *model.Revision `long:"base" value-name:"REVISION" description:"Apply only if this revision is in force; goes before the folder's .gypsumctl-base"`
+	Track bool            `long:"track" description:"Keep the revision in DIR/.gypsumctl-base from now on; later calls apply only on it"`
+	Note  string          `long:"note" description:"Text for the history"`
+	Args  folderArgument  `positional-args:"yes" required:"yes"`
 }
 
 // Execute puts a folder in force.
@@ -80,19 +81,46 @@
 	}
 	ctx, cancel := c.app.platformContext()
 	defer cancel()
-	current, err := publisher.Current(ctx)
+	applied, err := c.apply(ctx, publisher, b)
 	if err != nil {
 		return err
 	}
-	if c.Base != nil && *c.Base != current.Revision() {
-		base := Current{Head: &model.Head{Revision: *c.Base}}
-		return publisher.conflict(ctx, base, current)
+	return c.app.finish(applied)
+}
+
+// apply applies b on the base that the operator started from, if it is known.
+func (c *applyCommand) apply(ctx context.Context, publisher *Publisher, b *bundle.Bundle) (Applied, error) {
+	dir := string(c.Args.Dir)
+	tracked, err := readBase(dir, publisher.Region)
+	if err != nil {
+		return Applied{}, err
 	}
-	applied, err := publisher.Apply(ctx, current, b, c.Note)
+	base := c.Base
+	if base == nil {
+		base = tracked
+	}
+	current, err := publisher.Current(ctx)
 	if err != nil {
-		return err
+		return Applied{}, err
 	}
-	return c.app.finish(applied)
+	if base != nil && *base != current.Revision() && !current.has(b) {
+		started := Current{Head: &model.Head{Revision: *base}}
+		return Applied{}, publisher.conflict(ctx, started, current)
+	}
+	applied, err := publisher.Apply(ctx, current, b, c.Note)
+	if err != nil || (tracked == nil && !c.Track) {
+		return applied, err
+	}
+	applied.BaseProblem = problemOf(writeBase(dir, publisher.Region, applied.Revision))
+	return applied, nil
+}
+
+// problemOf returns the text of err, or "".
+func problemOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
 }
 
 type rollbackCommand struct {
--- a/pkg/operator/exit.go
+++ b/pkg/operator/exit.go
@@ -46,7 +46,7 @@
 // Error names the revision, who applied it and what to do.
 func (e *ConflictError) Error() string {
 	return fmt.Sprintf("revision %d by %s came after revision %d, which this change started from; "+
-		"compare with diff, then apply again", e.Between.Revision, e.Between.Who, e.Base)
+		"compare with diff, then apply with --base %d", e.Between.Revision, e.Between.Who, e.Base, e.Between.Revision)
 }
 
 // UnknownError says that an answer was lost and could not be settled.
--- a/pkg/operator/output.go
+++ b/pkg/operator/output.go
@@ -102,6 +102,9 @@
 	} else {
 		fmt.Fprintf(w, "applied revision %d\n", r.Revision)
 	}
+	if r.BaseProblem != "" {
+		fmt.Fprintf(w, "the folder's base was not kept: %s\n", r.BaseProblem)
+	}
 	if r.Rollout == nil {
 		fmt.Fprintln(w, "no --instance was given, so that nothing is known of the instances")
 		return
--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -51,6 +51,11 @@
 	return c.Head.Revision
 }
 
+// has reports whether b is the configuration in force.
+func (c Current) has(b *bundle.Bundle) bool {
+	return c.Bundle != nil && len(bundle.Diff(c.Bundle, b)) == 0
+}
+
 // Applied is the result of an apply or rollback.
 type Applied struct {
 	Revision model.Revision  `json:"revision"`
@@ -58,6 +63,8 @@
 	Changes  []bundle.Change `json:"changes"`
 	// Unchanged is true when the folder was in force already.
 	Unchanged bool `json:"unchanged"`
+	// BaseProblem says why the folder's base file could not be written.
+	BaseProblem string `json:"base_problem,omitempty"`
 }
 
 // Current reads the configuration in force.
