--- a/pkg/state/bundle/bundle_test.go
+++ b/pkg/state/bundle/bundle_test.go
@@ -1,7 +1,9 @@
 package bundle_test
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -158,6 +160,17 @@
 		Expect(changes).NotTo(Or(ContainSubstring("hidden"), ContainSubstring("changed to")))
 		Expect(changes).NotTo(ContainSubstring("-> changed"))
 	})
+
+	It("leaves no secret to a log either", func() {
+		b := merged(groupFile, callerFile)
+		var out bytes.Buffer
+		for _, logger := range []*slog.Logger{slog.New(slog.NewJSONHandler(&out, nil)), slog.New(slog.NewTextHandler(&out, nil))} {
+			logger.Info("logged", "bundle", b, "group", b.Groups[0], "caller", &b.Callers[0])
+		}
+		fmt.Fprintf(&out, "%v %+v", b, b.Callers)
+		Expect(out.String()).To(ContainSubstring("desk"))
+		Expect(out.String()).NotTo(Or(ContainSubstring("hidden"), ContainSubstring("SCRAM")))
+	})
 })
 
 var _ = Describe("RouteFor", func() {
--- a/pkg/state/bundle/match.go
+++ b/pkg/state/bundle/match.go
@@ -70,9 +70,3 @@
 
 // InitialTimeline returns the primary's timeline when the group is new.
 func (g *Group) InitialTimeline() uint32 { return max(g.Timeline, 1) }
-
-// String returns the ID, so that no log shows the password.
-func (g Group) String() string { return string(g.ID) }
-
-// String returns the name, so that no log shows the verifier.
-func (c Caller) String() string { return string(c.Name) }
