--- a/pkg/operator/command_test.go
+++ b/pkg/operator/command_test.go
@@ -123,6 +123,19 @@
 		Expect(line.run("--instance", address, "group", "show", "none")).To(Equal(ExitFailed))
 	})
 
+	It("asks the peers of the instance that it knows", func() {
+		second := &instance{status: admin.Status{Instance: "i2", Revision: 5}}
+		first := &instance{status: admin.Status{Instance: "i1", Peers: []admin.PeerStatus{
+			{ID: "i2", Live: true, Admin: second.listen()},
+			{ID: "i3", Live: true, Admin: "127.0.0.1:1"},
+		}}}
+		Expect(line.run("--instance", first.listen(), "--output", "json", "status")).To(Equal(ExitOK))
+		var shown statusResult
+		Expect(json.Unmarshal(line.stdout.Bytes(), &shown)).To(Succeed())
+		Expect(shown.Instances).To(HaveLen(2))
+		Expect(shown.Instances[1].Revision).To(Equal(model.Revision(5)))
+	})
+
 	It("fails when an instance does not answer", func() {
 		server := httptest.NewServer(nil)
 		address := strings.TrimPrefix(server.URL, "http://")
--- a/pkg/operator/groups.go
+++ b/pkg/operator/groups.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return err
 	}
-	result := statusResultOf(ask(c.app.ctx, addresses))
+	result := statusResultOf(askAll(c.app.ctx, addresses))
 	if err := c.app.print(result); err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 		return err
 	}
 	result := groupResult{Group: c.Args.Group}
-	status := statusResultOf(ask(c.app.ctx, addresses))
+	status := statusResultOf(askAll(c.app.ctx, addresses))
 	for _, instance := range status.Instances {
 		if view, ok := groupOf(instance, c.Args.Group); ok {
 			result.Views = append(result.Views, GroupView{Instance: instance.Instance, Group: view})
--- a/pkg/operator/rollout.go
+++ b/pkg/operator/rollout.go
@@ -65,6 +65,42 @@
 	return answers
 }
 
+// askAll asks the instances at the addresses, and the live peers that they
+// name. A peer whose admin listener cannot be reached from here is left out,
+// as its loopback address leads nowhere or to another instance.
+func askAll(ctx context.Context, addresses []string) []answer {
+	answers := ask(ctx, addresses)
+	known := map[model.InstanceID]bool{}
+	for _, a := range answers {
+		known[a.status.Instance] = true
+	}
+	for _, a := range ask(ctx, unasked(answers)) {
+		if a.err == nil && !known[a.status.Instance] {
+			known[a.status.Instance] = true
+			answers = append(answers, a)
+		}
+	}
+	return answers
+}
+
+// unasked returns the admin addresses of live peers that gave no answer yet.
+func unasked(answers []answer) []string {
+	seen := map[string]bool{}
+	for _, a := range answers {
+		seen[a.address] = true
+	}
+	var more []string
+	for _, a := range answers {
+		for _, peer := range a.status.Peers {
+			if peer.Live && peer.Admin != "" && !seen[peer.Admin] {
+				seen[peer.Admin] = true
+				more = append(more, peer.Admin)
+			}
+		}
+	}
+	return more
+}
+
 // rolloutOf combines what instances say of themselves and of their peers. An
 // instance's own word counts more than a peer's.
 func rolloutOf(revision model.Revision, answers []answer) Rollout {
@@ -106,7 +142,7 @@
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	err := poll(waiting, func() bool {
-		rollout = rolloutOf(revision, ask(ctx, addresses))
+		rollout = rolloutOf(revision, askAll(ctx, addresses))
 		return rollout.missing() == 0
 	})
 	if err != nil {
--- a/pkg/transport/admin/status.go
+++ b/pkg/transport/admin/status.go
@@ -85,6 +85,8 @@
 	ID         model.InstanceID `json:"id"`
 	DataCentre model.DataCentre `json:"data_centre"`
 	Address    string           `json:"address"`
+	// Admin is the address of the peer's admin listener; empty when unknown.
+	Admin string `json:"admin,omitempty"`
 	// Revision is the configuration that the peer last announced.
 	Revision model.Revision `json:"revision"`
 	// Live is false for a registered peer that does not answer.
