--- a/pkg/state/bundle/bundle_test.go
+++ b/pkg/state/bundle/bundle_test.go
@@ -1,7 +1,9 @@
 package bundle_test
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -158,6 +160,17 @@
 		Expect(changes).NotTo(Or(ContainSubstring("hidden"), ContainSubstring("changed to")))
 		Expect(changes).NotTo(ContainSubstring("-> changed"))
 	})
+
+	It("leaves no secret to a log either", func() {
+		b := merged(groupFile, callerFile)
+		var out bytes.Buffer
+		for _, logger := range []*slog.Logger{slog.New(slog.NewJSONHandler(&out, nil)), slog.New(slog.NewTextHandler(&out, nil))} {
+			logger.Info("logged", "bundle", b, "group", b.Groups[0], "caller", &b.Callers[0])
+		}
+		fmt.Fprintf(&out, "%v %+v", b, b.Callers)
+		Expect(out.String()).To(ContainSubstring("desk"))
+		Expect(out.String()).NotTo(Or(ContainSubstring("hidden"), ContainSubstring("SCRAM")))
+	})
 })
 
 var _ = Describe("RouteFor", func() {
@@ -208,6 +221,18 @@
 	Entry("lankapower", "lankapower", 5, 55),
 )
 
+var _ = Describe("the operators' page", func() {
+	It("shows a folder that is sound but for the verifier it leaves out", func() {
+		page, err := os.ReadFile("../../../docs/OPERATING.md")
+		Expect(err).NotTo(HaveOccurred())
+		_, rest, _ := strings.Cut(string(page), "```toml\n")
+		text, _, found := strings.Cut(rest, "```")
+		Expect(found).To(BeTrue())
+		_, problems := bundle.Merge(files(text))
+		Expect(lines(problems)).To(ConsistOf(ContainSubstring("caller[0].verifier")))
+	})
+})
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(groupFile), []byte(callerFile+routeFile))
 	f.Add([]byte(groupFile), []byte("leaving = [\"b\"]\n[[group]]\nid = \"plugs\"\nremove = true\n"))
