--- /dev/null
+++ b/pkg/imports/doc.go
@@ -0,0 +1,3 @@
+// Package imports holds the check of the direction of imports between layers;
+// see CONTRIBUTING.md.
+package imports
