Count and log what passes the engine and the platform's table

The catalogue named events and metrics that nothing wrote. observe.Engine wraps the engine: requests, answers by outcome, reads by target, latencies, refusals, lost writes. platform.Watched tells when the platform is unreachable and back, slow, or answers badly.

--- /dev/null
+++ b/pkg/coordination/observe/engine.go
@@ -0,0 +1,156 @@
+// Package observe counts and logs what passes an engine, without a part in its
+// decisions.
+package observe
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/events"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/verdict"
+)
+
+// logInterval is the least time between two logs of an event that many units
+// of work can meet.
+const logInterval = time.Second
+
+// Engine is a traffic.Engine whose units of work are counted and whose
+// failures are logged. A unit that the path tries again counts once for each
+// try, so that requests equal answers plus what is in flight.
+type Engine struct {
+	inner     traffic.Engine
+	logger    *slog.Logger
+	now       func() time.Time
+	groups    *cache[model.GroupID, *groupSeries]
+	upstreams *cache[model.UpstreamID, *metrics.Histogram]
+	overload  *cache[model.GroupID, *overload]
+
+	mayHaveRun, upstreamLost *events.Throttle
+	writeLost, markNotStored *events.Throttle
+}
+
+var _ traffic.Engine = (*Engine)(nil)
+
+// New returns inner with its units counted.
+func New(inner traffic.Engine, logger *slog.Logger) *Engine {
+	return &Engine{
+		inner:         inner,
+		logger:        logger,
+		now:           time.Now,
+		groups:        groupCache(),
+		upstreams:     upstreamCache(),
+		overload:      newCache(func(model.GroupID) *overload { return &overload{} }),
+		mayHaveRun:    events.NewThrottle(events.RequestMayHaveRun, logInterval),
+		upstreamLost:  events.NewThrottle(events.UpstreamLost, logInterval),
+		writeLost:     events.NewThrottle(events.WriteLost, logInterval),
+		markNotStored: events.NewThrottle(events.MarkNotStored, logInterval),
+	}
+}
+
+// Bundle calls the engine's Bundle.
+func (e *Engine) Bundle() *bundle.Bundle { return e.inner.Bundle() }
+
+// MaySend calls the engine's MaySend.
+func (e *Engine) MaySend(t *traffic.Ticket) *verdict.Error { return e.inner.MaySend(t) }
+
+// Admit counts and calls the engine's Admit.
+func (e *Engine) Admit(ctx context.Context, s traffic.Statement) (*traffic.Ticket, *verdict.Error) {
+	group := e.groupOf(s.Database)
+	series := e.groups.get(group)
+	series.requests.Inc()
+	if s.Attempt > 0 {
+		series.retries.Inc()
+	}
+	ticket, refused := e.inner.Admit(ctx, s)
+	if refused != nil {
+		series.answers[refused.Outcome].Inc()
+		e.refused(ctx, group, series, refused)
+		return nil, refused
+	}
+	e.overload.get(group).admitted(ctx, e, group)
+	return ticket, nil
+}
+
+func (e *Engine) groupOf(database string) model.GroupID {
+	group, ok := e.inner.Bundle().GroupOfDatabase(database)
+	if !ok {
+		return labelNoGroup
+	}
+	return group.ID
+}
+
+func (e *Engine) refused(ctx context.Context, group model.GroupID, series *groupSeries, refused *verdict.Error) {
+	switch refused.Code {
+	case verdict.Overloaded:
+		series.shed.Inc()
+		e.overload.get(group).refused(ctx, e, group)
+	case verdict.WriteLost:
+		series.writesLost.Inc()
+		e.writeLost.Log(ctx, e.logger, slog.String("group", string(group)))
+	}
+}
+
+// MayAcknowledge calls the engine's MayAcknowledge and logs what keeps an
+// answer back.
+func (e *Engine) MayAcknowledge(ctx context.Context, t *traffic.Ticket, at model.LSN) *verdict.Error {
+	refused := e.inner.MayAcknowledge(ctx, t, at)
+	if refused == nil {
+		return nil
+	}
+	switch refused.Code {
+	case verdict.MarkNotStored:
+		e.markNotStored.Log(ctx, e.logger, ticketAttrs(t)...)
+	case verdict.WriteLost:
+		e.groups.get(t.Group.ID).writesLost.Inc()
+		e.writeLost.Log(ctx, e.logger, ticketAttrs(t)...)
+	}
+	return refused
+}
+
+// Done counts and calls the engine's Done.
+func (e *Engine) Done(t *traffic.Ticket, r traffic.Result) {
+	e.inner.Done(t, r)
+	series := e.groups.get(t.Group.ID)
+	series.answers[r.Outcome].Inc()
+	if r.Latency > 0 {
+		e.upstreams.get(t.Upstream.ID).Update(r.Latency.Seconds())
+	}
+	ctx := context.Background()
+	if r.Broken {
+		e.upstreamLost.Log(ctx, e.logger, ticketAttrs(t)...)
+	}
+	switch r.Outcome {
+	case verdict.Ran:
+		series.ran(t, e.now())
+	case verdict.MayHaveRun:
+		e.mayHaveRun.Log(ctx, e.logger, ticketAttrs(t)...)
+	}
+}
+
+// ran counts a unit that an upstream executed.
+func (s *groupSeries) ran(t *traffic.Ticket, now time.Time) {
+	s.seconds.Update(now.Sub(t.Statement.Arrived).Seconds())
+	if !t.Statement.ReadOnly && !t.Route.ReadOnly {
+		return
+	}
+	if t.Primary {
+		s.primaryReads.Inc()
+		return
+	}
+	s.replicaReads.Inc()
+}
+
+func ticketAttrs(t *traffic.Ticket) []slog.Attr {
+	return []slog.Attr{
+		slog.String("group", string(t.Group.ID)),
+		slog.String("upstream", string(t.Upstream.ID)),
+		slog.String("route", t.Route.Name),
+		slog.String("caller", string(t.Statement.Caller)),
+	}
+}
--- /dev/null
+++ b/pkg/coordination/observe/engine_test.go
@@ -0,0 +1,130 @@
+package observe
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
+	"gypsumdock/pkg/verdict"
+)
+
+func TestObserve(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "observe")
+}
+
+// scripted is an engine that answers what the test wants.
+type scripted struct {
+	current *bundle.Bundle
+	refuse  *verdict.Error
+	ticket  traffic.Ticket
+}
+
+func (s *scripted) Bundle() *bundle.Bundle { return s.current }
+
+func (s *scripted) Admit(_ context.Context, statement traffic.Statement) (*traffic.Ticket, *verdict.Error) {
+	if s.refuse != nil {
+		return nil, s.refuse
+	}
+	ticket := s.ticket
+	ticket.Statement = statement
+	return &ticket, nil
+}
+
+func (s *scripted) MaySend(*traffic.Ticket) *verdict.Error { return s.refuse }
+
+func (s *scripted) MayAcknowledge(context.Context, *traffic.Ticket, model.LSN) *verdict.Error {
+	return s.refuse
+}
+
+func (s *scripted) Done(*traffic.Ticket, traffic.Result) {}
+
+// build returns an observed engine whose group has the name, so that its
+// series are its own.
+func build(name string) (*Engine, *scripted, *bytes.Buffer) {
+	group := bundle.Group{ID: model.GroupID(name), Database: "db", Upstreams: []bundle.Upstream{{ID: model.UpstreamID(name)}}}
+	inner := &scripted{current: &bundle.Bundle{Groups: []bundle.Group{group}}}
+	inner.ticket = traffic.Ticket{Group: &group, Upstream: &group.Upstreams[0], Route: &bundle.Route{Name: "r"}}
+	out := &bytes.Buffer{}
+	return New(inner, slog.New(slog.NewTextHandler(out, nil))), inner, out
+}
+
+var _ = Describe("Engine", func() {
+	ctx := context.Background()
+
+	It("counts as many answers as requests", func() {
+		engine, inner, _ := build("balance")
+		for _, outcome := range []verdict.Outcome{verdict.Ran, verdict.NotRun, verdict.MayHaveRun} {
+			ticket, _ := engine.Admit(ctx, traffic.Statement{Database: "db", ReadOnly: true, Attempt: int(outcome)})
+			engine.Done(ticket, traffic.Result{Outcome: outcome})
+		}
+		inner.refuse = verdict.New(verdict.Overloaded, verdict.NotRun, "full")
+		_, refused := engine.Admit(ctx, traffic.Statement{Database: "db"})
+		Expect(refused).To(Equal(inner.refuse))
+		answers := func(outcome string) uint64 { return telemetry.Answers.With("balance", outcome).Get() }
+		Expect(telemetry.Requests.With("balance").Get()).To(Equal(uint64(4)))
+		Expect([]uint64{answers("ran"), answers("not_run"), answers("may_have_run")}).To(Equal([]uint64{1, 2, 1}))
+		Expect(telemetry.Reads.With("balance", "replica").Get()).To(Equal(uint64(1)))
+		Expect(telemetry.AdmissionShed.With("balance").Get()).To(Equal(uint64(1)))
+		Expect(telemetry.Retries.With("balance").Get()).To(Equal(uint64(2)))
+	})
+
+	It("logs an overload when it begins and when it is over", func() {
+		engine, inner, out := build("overload")
+		now := time.Unix(1_700_000_000, 0)
+		engine.now = func() time.Time { return now }
+		admit := func() { _, _ = engine.Admit(ctx, traffic.Statement{Database: "db"}) }
+		inner.refuse = verdict.New(verdict.Overloaded, verdict.NotRun, "full")
+		admit()
+		admit()
+		inner.refuse = nil
+		admit()
+		Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+		now = now.Add(calmAfter)
+		admit()
+		admit()
+		Expect(out.String()).To(MatchRegexp(`event=420 group=overload\n.*event=421 group=overload\n$`))
+	})
+
+	It("logs requests that may have run, lost upstreams and lost writes", func() {
+		engine, inner, out := build("failures")
+		ticket, _ := engine.Admit(ctx, traffic.Statement{Database: "db"})
+		inner.refuse = verdict.New(verdict.WriteLost, verdict.MayHaveRun, "lost")
+		Expect(engine.MayAcknowledge(ctx, ticket, 1)).To(Equal(inner.refuse))
+		engine.Done(ticket, traffic.Result{Outcome: verdict.MayHaveRun, Broken: true})
+		Expect(out.String()).To(And(ContainSubstring("event=401"), ContainSubstring("event=122"), ContainSubstring("event=110")))
+		Expect(telemetry.WritesLost.With("failures").Get()).To(Equal(uint64(1)))
+	})
+
+	It("adds no allocation to a unit of work", func() {
+		engine, inner, _ := build("allocations")
+		statement := traffic.Statement{Database: "db"}
+		unit := func(e traffic.Engine) func() {
+			return func() {
+				ticket, _ := e.Admit(ctx, statement)
+				e.Done(ticket, traffic.Result{Outcome: verdict.Ran, Latency: time.Millisecond})
+			}
+		}
+		Expect(testing.AllocsPerRun(100, unit(engine))).To(Equal(testing.AllocsPerRun(100, unit(inner))))
+	})
+})
+
+func BenchmarkEngine(b *testing.B) {
+	engine, _, _ := build("benchmark")
+	ctx, statement := context.Background(), traffic.Statement{Database: "db"}
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, _ := engine.Admit(ctx, statement)
+		engine.Done(ticket, traffic.Result{Outcome: verdict.Ran, Latency: time.Millisecond})
+	}
+}
--- a/pkg/coordination/platform/client.go
+++ b/pkg/coordination/platform/client.go
@@ -35,6 +35,9 @@
 	Token string
 }
 
+// ErrBadAnswer means that the platform answered with what cannot be read.
+var ErrBadAnswer = errors.New("malformed answer")
+
 // Client speaks the protocol of docs/PLATFORM.md. It implements Table, Objects
 // and Instances and is safe for concurrent use. Reads are tried again after a
 // failure, until the context ends; a commit is sent once.
@@ -102,7 +105,7 @@
 		return CommitResult{}, errors.Wrapf(err, "commit %s", opID)
 	}
 	if len(answer.Rows) != len(writes) {
-		return CommitResult{}, errors.Errorf("commit %s: %d rows for %d writes", opID, len(answer.Rows), len(writes))
+		return CommitResult{}, errors.Wrapf(ErrBadAnswer, "commit %s: %d rows for %d writes", opID, len(answer.Rows), len(writes))
 	}
 	return answer, nil
 }
@@ -167,7 +170,7 @@
 		return errors.Errorf("status %d: %s", status, bytes.TrimSpace(data[:min(len(data), maxErrorBytes)]))
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return errors.Wrap(err, "decode")
+		return errors.Wrapf(ErrBadAnswer, "decode: %v", err)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/coordination/platform/watched_test.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// scripted is a table whose calls end with err after took.
+type scripted struct {
+	Table
+	err  error
+	took time.Duration
+	now  time.Time
+}
+
+func (s *scripted) Get(context.Context, string) (*Row, error) {
+	s.now = s.now.Add(s.took)
+	return nil, s.err
+}
+
+func (s *scripted) Commit(context.Context, string, []Write) (CommitResult, error) {
+	return CommitResult{}, s.err
+}
+
+var _ = Describe("Watched", func() {
+	var (
+		out     bytes.Buffer
+		table   *scripted
+		watched *WatchedTable
+	)
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		out.Reset()
+		table = &scripted{now: time.Unix(1_700_000_000, 0)}
+		watched = Watched(table, slog.New(slog.NewTextHandler(&out, nil)), time.Second)
+		watched.now = func() time.Time { return table.now }
+	})
+
+	get := func(times int, err error) {
+		table.err = err
+		for range times {
+			_, _ = watched.Get(ctx, "head/r")
+		}
+	}
+	logged := func() []string {
+		var all []string
+		for line := range strings.Lines(out.String()) {
+			_, rest, _ := strings.Cut(line, "event=")
+			all = append(all, rest[:3])
+		}
+		return all
+	}
+
+	It("says once that the platform is unreachable, and once that it is back", func() {
+		get(2, errors.New("down"))
+		get(1, nil)
+		Expect(logged()).To(BeEmpty())
+		get(5, errors.New("down"))
+		get(2, nil)
+		Expect(logged()).To(Equal([]string{"510", "511"}))
+	})
+
+	It("does not take a call that its caller gave up for a failure", func() {
+		get(5, context.Canceled)
+		Expect(logged()).To(BeEmpty())
+	})
+
+	It("tells slow calls, malformed answers and lost answers", func() {
+		table.took = 600 * time.Millisecond
+		get(3, nil)
+		get(1, ErrBadAnswer)
+		table.err = errors.New("lost")
+		_, err := watched.Commit(ctx, "op1", nil)
+		Expect(err).To(HaveOccurred())
+		Expect(logged()).To(Equal([]string{"512", "515", "513"}))
+	})
+})
