--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -9,6 +9,7 @@
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/engine"
 	"gypsumdock/pkg/coordination/headstore"
+	"gypsumdock/pkg/coordination/observe"
 	"gypsumdock/pkg/coordination/platform"
 	"gypsumdock/pkg/coordination/sessions"
 	"gypsumdock/pkg/state/adoption"
@@ -78,7 +79,7 @@
 		PromoteTimeout: i.settings.Failover.PromoteTimeout,
 		Admin:          i.listeners.admin.Addr().String(),
 		Clock:          i.clock,
-		Store:          headstore.New(platform.Counted(i.platform), i.settings.Instance.Region),
+		Store:          headstore.New(i.table(), i.settings.Instance.Region),
 		Platform:       platformServices{i.platform.Objects(), i.platform},
 		Upstreams:      upstreams{i.prober},
 		Peers:          peers,
@@ -90,6 +91,12 @@
 	return peers, err
 }
 
+// table returns the platform's table, counted and watched.
+func (i *Instance) table() platform.Table {
+	counted := platform.Counted(i.platform)
+	return platform.Watched(counted, i.logger, i.settings.Platform.Timeout)
+}
+
 // platformServices joins the platform's object store and list of instances.
 type platformServices struct {
 	platform.Objects
@@ -137,7 +144,7 @@
 	}
 	i.front, err = pgfront.New(pgfront.Config{
 		Listener:       i.listeners.callers,
-		Engine:         i.engine,
+		Engine:         observe.New(i.engine, i.logger),
 		Backends:       i.pools,
 		Logger:         i.logger,
 		Tracer:         spans{i.tracer},
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -25,6 +25,7 @@
 }
 
 func (i *Instance) setGauges() {
+	i.setPoolCounters()
 	status := i.Status()
 	telemetry.CallerConnections.With().Set(float64(status.CallerConnections))
 	telemetry.SessionMarks.With().Set(float64(status.SessionMarks))
@@ -44,6 +45,15 @@
 	}
 }
 
+// setPoolCounters sets the counters that the pools keep themselves.
+func (i *Instance) setPoolCounters() {
+	for _, stats := range i.pools.Stats() {
+		id := string(stats.Upstream)
+		telemetry.UpstreamOpened.With(id).Set(stats.Opened)
+		telemetry.UpstreamClosed.With(id).Set(stats.Closed)
+	}
+}
+
 func gaugeOf(set bool) float64 {
 	if set {
 		return 1
