Let traffic wait in admission queues, and reads go on without permits

A read of a stated age needs a proven position of the primary. Without a permit it is proven once all other upstreams answered later that they are replicas, so that reads go on while the platform is away for longer than promises last. A new instance takes the head row and the bundle from its peers.

--- a/pkg/coordination/control/actions.go
+++ b/pkg/coordination/control/actions.go
@@ -42,7 +42,7 @@
 		defer cancel()
 		started := l.now()
 		head, err := l.config.Store.Read(ctx)
-		l.post(headInput{failover.HeadRead{StartedAt: started, Head: head, Failed: err != nil}})
+		l.post(failoverInput{failover.HeadRead{StartedAt: started, Head: head, Failed: err != nil}})
 	})
 }
 
--- a/pkg/coordination/control/inputs.go
+++ b/pkg/coordination/control/inputs.go
@@ -16,19 +16,6 @@
 
 func (in failoverInput) apply(l *Loop) { l.step(in.event) }
 
-// headInput is the answer to a read of the head row.
-type headInput struct{ read failover.HeadRead }
-
-func (in headInput) apply(l *Loop) {
-	if !in.read.Failed {
-		l.confirmed = max(l.confirmed, in.read.StartedAt)
-	}
-	l.step(in.read)
-	if !in.read.Failed && l.view.Head != nil && l.view.Head.Version == in.read.Head.Version {
-		l.config.Sessions.HeadSeen(in.read.StartedAt, l.now(), l.view.Head)
-	}
-}
-
 // probeInput is the result of a probe.
 type probeInput struct{ probed failover.Probed }
 
--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -63,15 +63,14 @@
 	latest  atomic.Pointer[Snapshot]
 
 	// The fields below belong to the control goroutine.
-	failover  *failover.Machine
-	adoption  *adoption.Machine
-	view      failover.View
-	samples   *samples
-	probes    *probes
-	peers     map[model.InstanceID]PeerStatus
-	leaving   bool
-	ticks     ticks
-	confirmed time.Duration
+	failover *failover.Machine
+	adoption *adoption.Machine
+	view     failover.View
+	samples  *samples
+	probes   *probes
+	peers    map[model.InstanceID]PeerStatus
+	leaving  bool
+	ticks    ticks
 }
 
 // heldBundle is a bundle's bytes.
@@ -191,10 +190,14 @@
 
 // refresh takes the failover machine's view and publishes it.
 func (l *Loop) refresh() {
-	before := l.view.Head
+	before := l.view
 	l.view = l.failover.View()
-	if l.view.Head != nil && l.view.Head != before {
-		l.headChanged(before)
+	head := l.view.Head
+	if head != nil && (head != before.Head || l.view.ConfirmedFrom > before.ConfirmedFrom) {
+		l.config.Sessions.HeadSeen(l.view.ConfirmedFrom, l.now(), head)
+	}
+	if head != nil && head != before.Head {
+		l.headChanged(before.Head)
 	}
 	l.publish()
 }
@@ -202,7 +205,6 @@
 // headChanged follows a new head row.
 func (l *Loop) headChanged(before *model.Head) {
 	head := l.view.Head
-	l.config.Sessions.HeadSeen(l.confirmed, l.now(), head)
 	l.samples.headSeen(head)
 	if before == nil || before.MembersVersion != head.MembersVersion {
 		l.config.Peers.SetPeers(head.Members)
--- a/pkg/coordination/control/ports.go
+++ b/pkg/coordination/control/ports.go
@@ -19,6 +19,7 @@
 // HeadStore reads and writes the region's head row. Package headstore
 // implements it.
 type HeadStore interface {
+	// Read returns nil while there is no head row.
 	Read(ctx context.Context) (*model.Head, error)
 	Write(ctx context.Context, opID string, ifVersion model.RowVersion, head *model.Head) (failover.WriteOutcome, *model.Head)
 }
@@ -56,6 +57,8 @@
 type Peers interface {
 	// SetPeers names the instances to keep connections to.
 	SetPeers(peers []model.Member)
+	// Peers returns the peers that are connected.
+	Peers() []model.InstanceID
 	Send(to model.InstanceID, message failover.PeerMessage)
 	Announce(status Status)
 	// FetchBundle asks a peer for the bundle with the digest.
--- a/pkg/coordination/control/samples.go
+++ b/pkg/coordination/control/samples.go
@@ -26,21 +26,34 @@
 	known map[model.UpstreamID]upstreamSample
 	// ages holds the ages of each group's routes, ascending.
 	ages map[model.GroupID][]time.Duration
+	// unproven holds a position of each group's primary that was given
+	// without a permit.
+	unproven map[model.GroupID]unproven
 }
 
 // upstreamSample is the newest probe of an upstream.
 type upstreamSample struct {
 	reachable bool
 	delay     time.Duration
+	// recoveringAt is the start of the newest probe that found a replica.
+	recoveringAt time.Duration
+}
+
+// unproven is a primary's position that counts once all other upstreams were
+// found to be replicas after the answer.
+type unproven struct {
+	sample     lag.PrimarySample
+	answeredAt time.Duration
 }
 
 func newSamples(config Config) *samples {
 	return &samples{
-		config:  config,
-		tracker: lag.New(lag.DefaultHistory),
-		edges:   routing.NewEdges(edgeHoldTime),
-		known:   make(map[model.UpstreamID]upstreamSample),
-		ages:    make(map[model.GroupID][]time.Duration),
+		config:   config,
+		tracker:  lag.New(lag.DefaultHistory),
+		edges:    routing.NewEdges(edgeHoldTime),
+		known:    make(map[model.UpstreamID]upstreamSample),
+		ages:     make(map[model.GroupID][]time.Duration),
+		unproven: make(map[model.GroupID]unproven),
 	}
 }
 
@@ -106,6 +119,9 @@
 		s.tracker.Reset(p.Upstream, now)
 	}
 	sample.reachable = p.Reachable
+	if p.Reachable && p.Recovering {
+		sample.recoveringAt = p.StartedAt
+	}
 	s.known[p.Upstream] = sample
 	if p.Reachable {
 		s.take(p, group, now)
@@ -128,14 +144,43 @@
 	s.noteDelay(p, now)
 }
 
-// takePrimary takes a primary's position if it is proven: the permit held when
-// the answer came.
+// takePrimary takes a primary's position. It is proven if the permit held when
+// the answer came, and otherwise has to wait for a proof.
 func (s *samples) takePrimary(p failover.Probed, group failover.GroupView, at model.Mark, now time.Duration) {
-	if p.Recovering || p.Timeline != group.Timeline || now >= group.PermitUntil {
+	if p.Recovering || p.Timeline != group.Timeline {
+		return
+	}
+	sample := lag.PrimarySample{Group: p.Group, AskedAt: p.StartedAt, At: at}
+	if now < group.PermitUntil {
+		delete(s.unproven, p.Group)
+		s.tracker.PrimarySampled(sample)
+		s.config.Sessions.PrimarySampled(p.StartedAt, p.Group, at)
 		return
 	}
-	s.tracker.PrimarySampled(lag.PrimarySample{Group: p.Group, AskedAt: p.StartedAt, At: at})
-	s.config.Sessions.PrimarySampled(p.StartedAt, p.Group, at)
+	if _, waiting := s.unproven[p.Group]; !waiting {
+		s.unproven[p.Group] = unproven{sample: sample, answeredAt: now}
+	}
+}
+
+// prove takes the group's unproven position once all other upstreams were
+// found to be replicas after it was given: then no later generation had
+// started. Marks need a permit, so that homes take no floor from it.
+func (s *samples) prove(group *bundle.Group, state failover.GroupView) {
+	waiting, exists := s.unproven[group.ID]
+	if !exists {
+		return
+	}
+	if waiting.sample.At.Generation != state.Generation {
+		delete(s.unproven, group.ID)
+		return
+	}
+	for _, upstream := range group.Upstreams {
+		if upstream.ID != state.Primary && s.known[upstream.ID].recoveringAt < waiting.answeredAt {
+			return
+		}
+	}
+	delete(s.unproven, group.ID)
+	s.tracker.PrimarySampled(waiting.sample)
 }
 
 // noteDelay keeps the time by which a replica is behind: zero if it had applied
--- a/pkg/coordination/control/ticks.go
+++ b/pkg/coordination/control/ticks.go
@@ -15,7 +15,7 @@
 	status    time.Duration
 	instances time.Duration
 	adoption  time.Duration
-	head      time.Duration
+	behind    time.Duration
 }
 
 // due reports whether interval has passed since last, and moves last on.
@@ -41,10 +41,10 @@
 	if due(now, instancesInterval, &l.ticks.instances) {
 		l.tasks.Go(l.listInstances)
 	}
-	if l.view.Head == nil && due(now, statusInterval, &l.ticks.head) {
-		l.tasks.Go(l.askPeersForHead)
+	if due(now, statusInterval, &l.ticks.behind) {
+		l.catchUp()
 	}
-	l.passMarks()
+	l.followReplicas()
 }
 
 // drained tells the failover machine of groups without writes in flight.
@@ -67,7 +67,23 @@
 	l.post(instancesInput{list})
 }
 
-// askPeersForHead lets a new instance serve reads while the platform is down.
+// catchUp lets a new instance take the head row and the configuration from its
+// peers while the platform is down.
+func (l *Loop) catchUp() {
+	if l.view.Head == nil || l.view.Head.Version == 0 {
+		l.tasks.Go(l.askPeersForHead)
+	}
+	target := l.adoption.Target()
+	ref, _ := l.adoption.InForce()
+	if target.Revision <= ref.Revision {
+		return
+	}
+	for _, peer := range l.config.Peers.Peers() {
+		l.adopt(adoption.RevisionSeen{Ref: target, From: peer})
+	}
+}
+
+// askPeersForHead asks any peer for the head row.
 func (l *Loop) askPeersForHead() {
 	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
 	defer cancel()
@@ -78,14 +94,18 @@
 	l.post(failoverInput{failover.PeerReceived{Message: failover.HeadSent{Head: head}}})
 }
 
-// passMarks tells the sessions which marks need not be kept any more.
-func (l *Loop) passMarks() {
+// followReplicas proves positions that were given without a permit, and tells
+// the sessions which marks need not be kept any more.
+func (l *Loop) followReplicas() {
 	_, current := l.adoption.InForce()
 	if current == nil {
 		return
 	}
 	for i := range current.Groups {
 		group := &current.Groups[i]
+		if state, found := l.view.Group(group.ID); found {
+			l.samples.prove(group, state)
+		}
 		if at, known := l.samples.passed(group, &l.view); known {
 			l.config.Sessions.Passed(group.ID, at)
 		}
--- a/pkg/coordination/engine/admit.go
+++ b/pkg/coordination/engine/admit.go
@@ -6,6 +6,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/admission"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/verdict"
@@ -69,10 +70,12 @@
 	if !found {
 		return nil, verdict.New(verdict.NoUpstream, verdict.NotRun, "the upstream was removed").WithRetryAfter(u.engine.advice())
 	}
-	if refused := u.engine.lane(upstream.ID).enter(ctx, u); refused != nil {
+	slot, refused := u.engine.lane(upstream.ID).enter(ctx, u)
+	if refused != nil {
 		return nil, refused
 	}
 	return &traffic.Ticket{
+		Slot:       uint64(slot),
 		Statement:  u.statement,
 		Group:      u.group,
 		Route:      u.route,
@@ -143,7 +146,7 @@
 func (e *Engine) Done(t *traffic.Ticket, r traffic.Result) {
 	e.stats.done.Add(1)
 	e.uncount(t)
-	e.lane(t.Upstream.ID).leave(r)
+	e.lane(t.Upstream.ID).leave(admission.UnitID(t.Slot), r)
 }
 
 // advice returns when a refused caller may come back, spread out so that
@@ -168,7 +171,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if found, exists = e.lanes[id]; !exists {
-		found = newLane(1)
+		found = newLane(e, 1)
 		e.lanes[id] = found
 	}
 	return found
--- a/pkg/coordination/engine/engine.go
+++ b/pkg/coordination/engine/engine.go
@@ -32,6 +32,8 @@
 	Current(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (model.LSN, error)
 	// Replayed returns the position that a replica has applied.
 	Replayed(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (model.LSN, error)
+	// Recovering reports whether an upstream is a replica.
+	Recovering(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (bool, error)
 }
 
 // Config is what an Engine needs.
--- a/pkg/coordination/engine/lane.go
+++ b/pkg/coordination/engine/lane.go
@@ -7,22 +7,34 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/admission"
 	"gypsumdock/pkg/verdict"
 )
 
-// latencyWeight is the weight of a new latency in the usual one.
+// latencyWeight is the weight of past latencies in the usual one.
 const latencyWeight = 8
 
-// lane limits the statements that this instance runs on one upstream at once.
+// lane limits the units that this instance runs on one upstream at once. It
+// wraps an admission queue for the goroutines of traffic.
 type lane struct {
-	mu      sync.Mutex
-	slots   int
-	running int
-	queue   []chan struct{}
+	engine *Engine
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	queue *admission.Queue
+	// waiting holds the turns of the units in the queue.
+	waiting map[admission.UnitID]chan admission.Outcome
+	last    admission.UnitID
 	latency time.Duration
 }
 
-func newLane(slots int) *lane { return &lane{slots: slots} }
+func newLane(e *Engine, slots int) *lane {
+	return &lane{
+		engine:  e,
+		queue:   admission.New(admission.DefaultConfig(slots)),
+		waiting: make(map[admission.UnitID]chan admission.Outcome),
+	}
+}
 
 // resize shares each upstream's slots between the members.
 func (e *Engine) resize(snapshot *control.Snapshot) {
@@ -38,82 +50,105 @@
 func (l *lane) resize(slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.slots = slots
-	l.grant()
+	if l.queue.Limit() == slots {
+		return
+	}
+	l.queue.SetLimit(slots)
+	l.settle(l.queue.Expire(l.now(), l.engine.config.Random()))
 }
 
-// enter waits for a slot until ctx ends.
-func (l *lane) enter(ctx context.Context, u *unit) *verdict.Error {
-	l.mu.Lock()
-	if l.running < l.slots && len(l.queue) == 0 {
-		l.running++
-		l.mu.Unlock()
-		return nil
-	}
-	turn := make(chan struct{})
-	l.queue = append(l.queue, turn)
-	l.mu.Unlock()
+func (l *lane) now() time.Duration { return l.engine.config.Clock.Now() }
+
+// enter waits for a slot until ctx ends, and returns the unit's ID there.
+func (l *lane) enter(ctx context.Context, u *unit) (admission.UnitID, *verdict.Error) {
+	id, turn := l.arrive(u)
 	select {
-	case <-turn:
-		return nil
+	case outcome := <-turn:
+		return id, outcome.Refusal
 	case <-ctx.Done():
-		return l.giveUp(turn, u)
+		return id, l.giveUp(id, turn)
 	}
 }
 
-// giveUp takes a waiter out of the queue. If its turn came meanwhile, the slot
-// goes to the next.
-func (l *lane) giveUp(turn chan struct{}, u *unit) *verdict.Error {
+// arrive puts a unit into the queue.
+func (l *lane) arrive(u *unit) (admission.UnitID, <-chan admission.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	select {
-	case <-turn:
-		l.running--
-		l.grant()
-	default:
-		l.remove(turn)
+	l.last++
+	id := l.last
+	turn := make(chan admission.Outcome, 1)
+	l.waiting[id] = turn
+	now := l.now()
+	arrival := admission.Unit{
+		ID:         id,
+		Caller:     u.statement.Caller,
+		Connection: admission.ConnectionID(u.statement.Connection),
+		Weight:     u.weight(),
+		Arrived:    now,
+		Deadline:   now + time.Until(u.deadline),
 	}
-	return verdict.New(verdict.Overloaded, verdict.NotRun,
-		"no slot of the upstream became free within the deadline").WithRetryAfter(u.engine.advice())
+	l.settle(l.queue.Arrive(now, arrival, l.engine.config.Random()))
+	return id, turn
 }
 
-func (l *lane) remove(turn chan struct{}) {
-	for i, waiting := range l.queue {
-		if waiting == turn {
-			l.queue = append(l.queue[:i], l.queue[i+1:]...)
-			return
+// giveUp takes a unit out of the queue whose deadline passed or whose caller
+// has gone. A slot that it got meanwhile goes to the next.
+func (l *lane) giveUp(id admission.UnitID, turn <-chan admission.Outcome) *verdict.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case outcome := <-turn:
+		if outcome.Runs() {
+			l.settle(l.queue.Release(l.now(), id, l.engine.config.Random()))
 		}
+	default:
+		delete(l.waiting, id)
+		l.queue.Cancel(id)
 	}
+	return verdict.New(verdict.DeadlineExceeded, verdict.NotRun,
+		"no slot of the upstream became free within the deadline").WithRetryAfter(l.engine.advice())
 }
 
 // leave gives back a slot.
-func (l *lane) leave(r traffic.Result) {
+func (l *lane) leave(id admission.UnitID, r traffic.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running--
 	if r.Outcome == verdict.Ran {
 		l.latency += (r.Latency - l.latency) / latencyWeight
 	}
-	l.grant()
+	l.settle(l.queue.Release(l.now(), id, l.engine.config.Random()))
 }
 
-// grant gives free slots to those who wait. l.mu is held.
-func (l *lane) grant() {
-	for l.running < l.slots && len(l.queue) > 0 {
-		close(l.queue[0])
-		l.queue = l.queue[1:]
-		l.running++
+// settle gives their turn to units that got a slot or were refused. l.mu is
+// held.
+func (l *lane) settle(outcomes []admission.Outcome) {
+	for _, outcome := range outcomes {
+		turn, found := l.waiting[outcome.ID]
+		if !found {
+			continue
+		}
+		delete(l.waiting, outcome.ID)
+		turn <- outcome
 	}
 }
 
 func (l *lane) outstanding() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.running + len(l.queue)
+	return l.queue.Running() + l.queue.Queued()
 }
 
-func (l *lane) load() (time.Duration, int) {
+func (l *lane) load() (latency time.Duration, slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.latency, l.slots
+	return l.latency, l.queue.Limit()
+}
+
+// weight returns the caller's share relative to others.
+func (u *unit) weight() int {
+	caller, found := u.engine.Bundle().Caller(u.statement.Caller)
+	if !found {
+		return 1
+	}
+	return caller.Weight
 }
--- a/pkg/coordination/engine/sample.go
+++ b/pkg/coordination/engine/sample.go
@@ -61,8 +61,9 @@
 	}
 }
 
-// askPrimary asks the primary once. The answer counts only if the permit still
-// holds afterwards, so that no other generation has started.
+// askPrimary asks the primary once. The answer counts only if no other
+// generation can have started before it was given: the permit still holds
+// afterwards, or all other upstreams are still replicas.
 func (e *Engine) askPrimary(group *bundle.Group) sampleResult {
 	state, found := e.snapshot.Load().View.Group(group.ID)
 	if !found {
@@ -76,10 +77,23 @@
 	defer cancel()
 	e.stats.samples.Add(1)
 	lsn, err := e.config.Positions.Current(ctx, group, upstream)
-	if err != nil || !e.holdsPermit(group.ID, state.Generation) {
+	if err != nil {
 		return sampleResult{}
 	}
-	return sampleResult{at: model.Mark{Generation: state.Generation, LSN: lsn}, known: true}
+	proven := e.holdsPermit(group.ID, state.Generation) || e.othersRecover(ctx, group, upstream.ID)
+	return sampleResult{at: model.Mark{Generation: state.Generation, LSN: lsn}, known: proven}
+}
+
+// othersRecover reports whether all upstreams but one answer that they are
+// replicas.
+func (e *Engine) othersRecover(ctx context.Context, group *bundle.Group, except model.UpstreamID) bool {
+	for _, upstream := range others(group, except) {
+		recovering, err := e.config.Positions.Recovering(ctx, group, upstream)
+		if err != nil || !recovering {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *Engine) sampler(id model.GroupID) *sampler {
--- a/pkg/coordination/headstore/headstore.go
+++ b/pkg/coordination/headstore/headstore.go
@@ -11,8 +11,8 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// ErrNoHead is returned while no bundle has been applied in the region.
-var ErrNoHead = errors.New("no head row")
+// errNoHead is returned for an answer to a commit without a row.
+var errNoHead = errors.New("no head row")
 
 // Store reads and writes the head row of one region.
 type Store struct {
@@ -25,14 +25,14 @@
 	return &Store{table: table, key: platform.HeadKey(region)}
 }
 
-// Read returns the head row, or ErrNoHead.
+// Read returns the head row, or nil while there is none.
 func (s *Store) Read(ctx context.Context) (*model.Head, error) {
 	row, err := s.table.Get(ctx, s.key)
 	if err != nil {
 		return nil, errors.Wrap(err, "read head row")
 	}
 	if row == nil {
-		return nil, ErrNoHead
+		return nil, nil
 	}
 	return platform.DecodeHead(row)
 }
@@ -80,7 +80,7 @@
 
 func decodeFirst(rows []*platform.Row) (*model.Head, error) {
 	if len(rows) != 1 || rows[0] == nil {
-		return nil, ErrNoHead
+		return nil, errNoHead
 	}
 	return platform.DecodeHead(rows[0])
 }
--- a/pkg/coordination/traffic/traffic.go
+++ b/pkg/coordination/traffic/traffic.go
@@ -16,9 +16,11 @@
 // Statement describes a unit of work: one statement outside a transaction, or
 // a whole transaction.
 type Statement struct {
-	Caller   model.CallerName
-	Session  model.SessionID
-	Database string
+	Caller  model.CallerName
+	Session model.SessionID
+	// Connection identifies the caller's connection on this instance.
+	Connection uint32
+	Database   string
 	// Tag is the sqlcommenter key "route" of the first statement.
 	Tag string
 	// ReadOnly is true when the protocol layer knows that the unit writes
@@ -48,6 +50,8 @@
 	Deadline time.Time
 	// Sent is set by the path once a byte has gone to the upstream.
 	Sent bool
+	// Slot belongs to the engine: it names the slot that the unit holds.
+	Slot uint64
 	// Counted belongs to the engine: MaySend counted the ticket as a write in
 	// flight.
 	Counted bool
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -133,6 +133,7 @@
 		ClientTLS:     client,
 		MaxFrameBytes: int64(i.settings.Mesh.MaxFrameBytes),
 	})
+	i.mesh.SetSeeds(i.settings.Mesh.Peers)
 	peers.Connect(i.mesh)
 	return nil
 }
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -20,6 +20,7 @@
 	head *model.Head
 	// headFresh is the start of the newest table read that found head.
 	headFresh time.Duration
+	confirmed confirmation
 	reads     reads
 	writes    writes
 	promises  promises
--- a/pkg/state/failover/permit.go
+++ b/pkg/state/failover/permit.go
@@ -40,9 +40,25 @@
 	return found && own.Evicted == 0 && !m.member.finished
 }
 
+// confirmation is a time before the row of a version was seen to be in force.
+type confirmation struct {
+	version model.RowVersion
+	from    time.Duration
+}
+
+// confirmedFrom returns a time before the newest known row was seen to be in
+// force, or zero.
+func (m *Machine) confirmedFrom() time.Duration {
+	if m.head == nil || m.confirmed.version != m.head.Version {
+		return 0
+	}
+	return m.confirmed.from
+}
+
 // renewPermits renews the permits of all open groups. from is a time before the
 // newest known row was seen to be in force.
 func (m *Machine) renewPermits(from time.Duration) {
+	m.confirmed = confirmation{version: m.head.Version, from: max(from, m.confirmedFrom())}
 	if !m.isHolder() {
 		return
 	}
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -16,6 +16,9 @@
 	// Members holds the registered instances, ordered by ID.
 	Members           []MemberView
 	PlatformReachable bool
+	// ConfirmedFrom is a time before Head was seen to be in force, by a read of
+	// the table or by the promises of all members; zero if it was not.
+	ConfirmedFrom time.Duration
 	// Registered is true while the newest known row lists this instance.
 	Registered bool
 	// Established is explained in the package documentation.
@@ -62,6 +65,7 @@
 	view := View{
 		Head:              m.head,
 		PlatformReachable: m.isPlatformReachable(),
+		ConfirmedFrom:     m.confirmedFrom(),
 		Registered:        m.member.registered,
 		Established:       m.member.established,
 	}
--- a/pkg/transport/mesh/link.go
+++ b/pkg/transport/mesh/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return false, err
 	}
-	if model.InstanceID(hello.GetInstance()) != l.peer.ID {
+	if !l.isExpected(model.InstanceID(hello.GetInstance())) {
 		return false, errors.Errorf("address of %s answers as %s", l.peer.ID, hello.GetInstance())
 	}
 	session, err := yamux.Client(conn, yamuxConfig(l.config))
@@ -91,6 +92,11 @@
 	return true, l.serveSession(session)
 }
 
+// isExpected reports whether the instance that answered is the one dialled.
+func (l *link) isExpected(id model.InstanceID) bool {
+	return id == l.peer.ID || strings.HasPrefix(string(l.peer.ID), seedPrefix)
+}
+
 func (l *link) dial() (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.config.HandshakeTimeout)
 	defer cancel()
--- a/pkg/transport/mesh/node.go
+++ b/pkg/transport/mesh/node.go
@@ -39,6 +39,21 @@
 	return n
 }
 
+// SetSeeds dials addresses of which the instance is not known yet, until
+// SetPeers is called.
+func (n *Node) SetSeeds(addresses []string) {
+	seeds := make([]model.Member, 0, len(addresses))
+	for _, address := range addresses {
+		if address != n.config.Self.Address {
+			seeds = append(seeds, model.Member{ID: model.InstanceID(seedPrefix + address), Address: address})
+		}
+	}
+	n.SetPeers(seeds)
+}
+
+// seedPrefix starts the ID under which a peer is kept whose own is not known.
+const seedPrefix = "seed/"
+
 // SetPeers replaces the set of peers to dial. Sessions to others are closed.
 func (n *Node) SetPeers(peers []model.Member) {
 	n.mu.Lock()
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -69,6 +69,9 @@
 // SetPeers names the instances to keep connections to.
 func (p *Peers) SetPeers(peers []model.Member) { p.node.SetPeers(peers) }
 
+// Peers returns the peers that are connected.
+func (p *Peers) Peers() []model.InstanceID { return p.node.Peers() }
+
 // Send sends a message of the failover machine.
 func (p *Peers) Send(to model.InstanceID, message failover.PeerMessage) {
 	if envelope := meshlink.Encode(message); envelope != nil {
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -88,13 +88,14 @@
 // describe returns what the engine is told of the unit that starts with b.
 func (s *session) describe(b *batch, attempt int) traffic.Statement {
 	statement := traffic.Statement{
-		Caller:   s.caller,
-		Session:  s.name,
-		Database: s.database,
-		Tag:      b.tags.Route,
-		ReadOnly: b.readOnly,
-		Attempt:  attempt,
-		Arrived:  b.arrived,
+		Caller:     s.caller,
+		Session:    s.name,
+		Connection: s.id,
+		Database:   s.database,
+		Tag:        b.tags.Route,
+		ReadOnly:   b.readOnly,
+		Attempt:    attempt,
+		Arrived:    b.arrived,
 	}
 	if s.begin == nil {
 		return statement
