Be ready only after the first permits

Ruled out: a lapse, since no event 306 was logged. The instance said that it was ready as soon as its configuration was in force, before its registration was written.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -46,6 +46,7 @@
 	admin     *http.Server
 	tracer    *telemetry.Tracer
 	stopping  stopFlag
+	ready     readyLatch
 }
 
 // listeners are the open sockets.
@@ -112,13 +113,6 @@
 // readyInterval is the pause between two checks for a configuration.
 const readyInterval = 20 * time.Millisecond
 
-// isReady reports whether a configuration is in force and the state of its
-// groups is known.
-func (i *Instance) isReady() bool {
-	snapshot := i.loop.Snapshot()
-	return snapshot.Ref.Revision > 0 && len(snapshot.View.Groups) > 0 && !i.stopping.isSet()
-}
-
 // selfOf returns this instance as a member.
 func selfOf(configured *settings.Settings, opened listeners) model.Member {
 	id := configured.Instance.ID
