--- a/pkg/transport/pgback/pool.go
+++ b/pkg/transport/pgback/pool.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/verdict"
 )
 
@@ -24,6 +29,7 @@
 type pool struct {
 	dialer  *dialer
 	minIdle int
+	logger  *slog.Logger
 	stats   *counters
 
 	mu      sync.Mutex
@@ -102,6 +108,7 @@
 func (p *pool) dial(ctx context.Context, want origin) (*conn, error) {
 	c, err := p.dialer.dial(ctx, want.group, want.upstream)
 	if err != nil {
+		p.logFailed(err)
 		p.stats.failed.Add(1)
 		p.mu.Lock()
 		p.open--
@@ -110,11 +117,27 @@
 		return nil, err
 	}
 	p.stats.opened.Add(1)
+	events.Log(ctx, p.logger, events.UpstreamConnected)
 	c.pool = p
 	c.origin = want
 	return c, nil
 }
 
+// invalidPassword and invalidAuthorization are SQLSTATEs of a refused login.
+const (
+	invalidPassword      = "28P01"
+	invalidAuthorization = "28000"
+)
+
+func (p *pool) logFailed(err error) {
+	event := events.UpstreamConnectFailed
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) && (refused.Code == invalidPassword || refused.Code == invalidAuthorization) {
+		event = events.UpstreamAuthFailed
+	}
+	events.Log(context.Background(), p.logger, event, slog.String("reason", err.Error()))
+}
+
 func (p *pool) wait(ctx context.Context, w *waiter, deadline time.Time) (*conn, *verdict.Error) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
@@ -181,6 +204,7 @@
 
 // discard closes a connection that is in use.
 func (p *pool) discard(c *conn) {
+	events.Log(context.Background(), p.logger, events.UpstreamDiscarded)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeLocked(c)
--- a/pkg/transport/pgback/pools.go
+++ b/pkg/transport/pgback/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,8 @@
 	// MinIdle is the number of idle connections that each upstream keeps ready,
 	// within its limit.
 	MinIdle int
+	// Logger takes the events of connections; nil drops them.
+	Logger *slog.Logger
 }
 
 func (c Config) withDefaults() Config {
@@ -53,6 +56,9 @@
 	if c.MaxStatements == 0 {
 		c.MaxStatements = defaultMaxStatements
 	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
 	return c
 }
 
@@ -130,6 +136,7 @@
 	created := &pool{
 		dialer:  p.dialer,
 		minIdle: p.config.MinIdle,
+		logger:  p.config.Logger.With(slog.String("upstream", string(id))),
 		stats:   &counters{},
 		limit:   p.config.DefaultLimit,
 		closed:  p.closed,
--- a/pkg/transport/pgfront/run.go
+++ b/pkg/transport/pgfront/run.go
@@ -83,6 +83,7 @@
 		s.server.counters.retried.Add(1)
 		s.begin = begin
 		if s.unit != nil {
+			s.logLost(failed.Error)
 			s.dropUnit(failed.Outcome, isLost(failed.Error))
 		}
 	}
@@ -115,6 +116,9 @@
 	confirmed := 0
 	commits := b.commits
 	if s.unit != nil {
+		if isLost(e) {
+			s.logLost(e)
+		}
 		confirmed = s.unit.x.confirmed
 		commits = commits || s.unit.commits
 		s.dropUnit(e.Outcome, isLost(e))
--- a/pkg/transport/pgfront/session.go
+++ b/pkg/transport/pgfront/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/verdict"
@@ -91,6 +92,7 @@
 
 // run serves the caller until it leaves or the server stops.
 func (s *session) run() {
+	s.log(events.CallerConnected)
 	defer s.leave()
 	for !s.broken {
 		message, err := s.receive()
@@ -192,6 +194,7 @@
 // fatal tells the caller why its connection ends.
 func (s *session) fatal(e *verdict.Error) {
 	s.server.counters.countError(e)
+	s.logError(e)
 	s.output.setDeadline(time.Now().Add(s.server.config.MessageTimeout))
 	s.output.send(pgwire.ErrorResponse(pgwire.SeverityFatal, e))
 	if s.output.flush() == nil {
@@ -207,9 +210,11 @@
 		s.batch = nil
 	}
 	if s.unit != nil {
+		s.log(events.CallerVanished)
 		s.dropUnit(verdict.MayHaveRun, false)
 	}
 	_ = s.output.flush()
+	s.log(events.CallerDisconnected)
 }
 
 // status is the transaction state that the caller sees.
@@ -236,6 +241,7 @@
 
 func (s *session) sendError(e *verdict.Error) {
 	s.server.counters.countError(e)
+	s.logError(e)
 	s.output.send(errorOf(e))
 }
 
--- a/pkg/transport/pgfront/startup.go
+++ b/pkg/transport/pgfront/startup.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/protocol/scramauth"
 	"gypsumdock/pkg/state/bundle"
@@ -121,6 +122,7 @@
 // refuseMalformed answers a packet that can't be read; a caller that sent
 // nothing gets no answer.
 func (g *greeter) refuseMalformed(err error) {
+	g.log(events.CallerStartupBad, err)
 	var network net.Error
 	if errors.Is(err, io.EOF) || errors.As(err, &network) {
 		return
@@ -131,6 +133,9 @@
 // refuse sends a fatal error and closes the connection in a way that lets it
 // arrive.
 func (g *greeter) refuse(e *verdict.Error) {
+	if e.Code == verdict.Overloaded {
+		g.log(events.CallerLimitReached, e)
+	}
 	g.server.counters.countError(e)
 	packet, err := pgwire.ErrorResponse(pgwire.SeverityFatal, e).Encode(nil)
 	if err != nil {
@@ -144,6 +149,7 @@
 func (g *greeter) greet(message *pgproto3.StartupMessage, full bool) *session {
 	startup, err := pgwire.ReadStartup(message, g.server.config.SessionParameter)
 	if err != nil {
+		g.log(events.CallerUnsupported, err)
 		g.refuse(verdict.New(verdict.Unsupported, verdict.NotRun, err.Error()))
 		return nil
 	}
@@ -162,6 +168,7 @@
 	}
 	if refused := g.authenticate(session, startup.User, caller); refused != nil {
 		g.server.counters.authFailed.Add(1)
+		g.log(events.CallerAuthFailed, refused.Cause)
 		g.refuse(refused)
 		return nil
 	}
