--- /dev/null
+++ b/pkg/transport/pgback/pgback_test.go
@@ -0,0 +1,291 @@
+package pgback_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/pgback"
+	"gypsumdock/pkg/verdict"
+)
+
+func TestPgback(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pgback")
+}
+
+// database accepts connections with a password in clear text, counts them,
+// and answers each query with a bare completion.
+type database struct {
+	listener net.Listener
+	// open is the number of connections now; most is the highest so far.
+	open atomic.Int64
+	most atomic.Int64
+	// logins is how many connections logged in.
+	logins atomic.Int64
+
+	mu      sync.Mutex
+	queries []string
+	conns   []net.Conn
+}
+
+func newDatabase() *database {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	d := &database{listener: listener}
+	DeferCleanup(listener.Close)
+	go d.serve()
+	return d
+}
+
+func (d *database) serve() {
+	for {
+		connection, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.conns = append(d.conns, connection)
+		d.mu.Unlock()
+		d.count(1)
+		go d.run(connection)
+	}
+}
+
+func (d *database) count(change int64) {
+	now := d.open.Add(change)
+	for {
+		most := d.most.Load()
+		if now <= most || d.most.CompareAndSwap(most, now) {
+			return
+		}
+	}
+}
+
+func (d *database) run(connection net.Conn) {
+	defer d.count(-1)
+	defer connection.Close()
+	wire := pgproto3.NewBackend(connection, connection)
+	if _, err := wire.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	wire.Send(&pgproto3.AuthenticationCleartextPassword{})
+	_ = wire.Flush()
+	message, err := wire.Receive()
+	password, ok := message.(*pgproto3.PasswordMessage)
+	if err != nil || !ok {
+		return
+	}
+	if password.Password != "secret" {
+		wire.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "28P01", Message: "no"})
+		_ = wire.Flush()
+		return
+	}
+	d.logins.Add(1)
+	wire.Send(&pgproto3.AuthenticationOk{})
+	wire.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
+	for {
+		wire.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		if wire.Flush() != nil {
+			return
+		}
+		message, err := wire.Receive()
+		query, ok := message.(*pgproto3.Query)
+		if err != nil || !ok {
+			return
+		}
+		d.mu.Lock()
+		d.queries = append(d.queries, query.String)
+		d.mu.Unlock()
+		wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")})
+	}
+}
+
+func (d *database) log() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.queries...)
+}
+
+// cut closes all connections from the database's side.
+func (d *database) cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, connection := range d.conns {
+		_ = connection.Close()
+	}
+}
+
+func (d *database) ticket(generation model.Generation, wait time.Duration) *traffic.Ticket {
+	group := &bundle.Group{
+		ID: "g", Database: "db", User: "proxy", Password: "secret",
+		Upstreams: []bundle.Upstream{{ID: "u", Address: d.listener.Addr().String()}},
+	}
+	return &traffic.Ticket{
+		Group:      group,
+		Upstream:   &group.Upstreams[0],
+		Generation: generation,
+		Deadline:   time.Now().Add(wait),
+	}
+}
+
+const (
+	longWait  = 10 * time.Second
+	shortWait = 20 * time.Millisecond
+)
+
+var _ = Describe("Pools", func() {
+	var (
+		ctx   = context.Background()
+		d     *database
+		pools *pgback.Pools
+	)
+
+	newPools := func(config pgback.Config) {
+		GinkgoHelper()
+		created, err := pgback.New(config)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(created.Close)
+		pools = created
+	}
+	acquire := func(generation model.Generation) pgback.Backend {
+		GinkgoHelper()
+		backend, refused := pools.Acquire(ctx, d.ticket(generation, longWait))
+		Expect(refused).To(BeNil())
+		return backend
+	}
+	stats := func() pgback.Stats { return pools.Stats()[0] }
+	balance := func() bool {
+		s := stats()
+		return s.Opened == s.Closed+uint64(s.Open)
+	}
+
+	BeforeEach(func() {
+		d = newDatabase()
+		newPools(pgback.Config{DefaultLimit: 2})
+	})
+
+	It("never opens more than the limit, and refuses at the deadline as not run", func() {
+		first := acquire(1)
+		second := acquire(1)
+		_, refused := pools.Acquire(ctx, d.ticket(1, shortWait))
+		Expect(refused.Code).To(Equal(verdict.Overloaded))
+		Expect(refused.Outcome).To(Equal(verdict.NotRun))
+		first.Release(pgback.ReuseClean)
+		second.Release(pgback.ReuseNever)
+		Eventually(balance).Should(BeTrue())
+		Expect(stats().Idle).To(Equal(1))
+		Expect(d.most.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("keeps to the limit while connections are closed and opened by many", func() {
+		group := sync.WaitGroup{}
+		for i := range 40 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				backend := acquire(1)
+				backend.Release(pgback.Reuse(i % 3))
+			})
+		}
+		group.Wait()
+		Eventually(balance).Should(BeTrue())
+		Expect(d.most.Load()).To(BeNumerically("<=", 2))
+	})
+
+	It("gives a freed connection to the one that waited longest", func() {
+		first := acquire(1)
+		second := acquire(1)
+		order := make(chan int, 2)
+		for i := range 2 {
+			go func() {
+				defer GinkgoRecover()
+				backend := acquire(1)
+				order <- i
+				backend.Release(pgback.ReuseClean)
+			}()
+			Eventually(func() int { return stats().Waiting }).Should(Equal(i + 1))
+		}
+		first.Release(pgback.ReuseNever)
+		Expect(<-order).To(Equal(0))
+		Expect(<-order).To(Equal(1))
+		second.Release(pgback.ReuseClean)
+	})
+
+	It("shrinks at once by idle connections, then on release", func() {
+		first := acquire(1)
+		second := acquire(1)
+		first.Release(pgback.ReuseClean)
+		pools.SetLimit("u", 1)
+		Eventually(d.open.Load).Should(BeEquivalentTo(1))
+		pools.SetLimit("u", 0)
+		Expect(d.open.Load()).To(BeEquivalentTo(1))
+		second.Release(pgback.ReuseClean)
+		Eventually(d.open.Load).Should(BeEquivalentTo(0))
+		Eventually(balance).Should(BeTrue())
+	})
+
+	It("does not reuse a connection of an older generation", func() {
+		old := acquire(1)
+		old.Release(pgback.ReuseClean)
+		inUse := acquire(1)
+		acquire(2).Release(pgback.ReuseClean)
+		Expect(d.logins.Load()).To(BeEquivalentTo(2))
+		inUse.Release(pgback.ReuseClean)
+		Eventually(d.open.Load).Should(BeEquivalentTo(1))
+	})
+
+	It("does not lend a connection that the database has closed", func() {
+		acquire(1).Release(pgback.ReuseClean)
+		d.cut()
+		Eventually(d.open.Load).Should(BeEquivalentTo(0))
+		backend := acquire(1)
+		Expect(d.logins.Load()).To(BeEquivalentTo(2))
+		backend.Release(pgback.ReuseClean)
+	})
+
+	It("resets a connection before its next use", func() {
+		acquire(1).Release(pgback.ReuseAfterReset)
+		Expect(d.log()).To(Equal([]string{"DISCARD ALL"}))
+		Expect(stats().Idle).To(Equal(1))
+	})
+
+	It("opens connections ahead of need, one at a time", func() {
+		newPools(pgback.Config{DefaultLimit: 5, MinIdle: 3})
+		t := d.ticket(1, longWait)
+		pools.Warm(t.Group, t.Upstream, 1)
+		Eventually(func() int { return stats().Idle }).Should(Equal(3))
+		Consistently(func() int { return stats().Open }, "30ms").Should(Equal(3))
+	})
+
+	It("says not run where the database can't be reached or refuses the login", func() {
+		t := d.ticket(1, longWait)
+		t.Group.Password = "wrong"
+		_, refused := pools.Acquire(ctx, t)
+		Expect(refused.Code).To(Equal(verdict.NoUpstream))
+		Expect(refused.Outcome).To(Equal(verdict.NotRun))
+		Expect(refused.Error()).NotTo(ContainSubstring("wrong"))
+		Eventually(func() int { return stats().Open }).Should(BeZero())
+	})
+
+	It("bounds the statements of a connection by the least recently used", func() {
+		newPools(pgback.Config{DefaultLimit: 1, MaxStatements: 2})
+		backend := acquire(1)
+		Expect(backend.Prepare("a")).To(Equal(pgback.Prepared{}))
+		Expect(backend.Prepare("b")).To(Equal(pgback.Prepared{}))
+		Expect(backend.Prepare("a").Known).To(BeTrue())
+		Expect(backend.Prepare("c")).To(Equal(pgback.Prepared{Evicted: "b"}))
+		Expect(backend.Prepare("a").Known).To(BeTrue())
+		backend.Release(pgback.ReuseClean)
+	})
+})
