--- a/pkg/transport/pgback/input.go
+++ b/pkg/transport/pgback/input.go
@@ -18,11 +18,11 @@
 		return true
 	}
 	found := true
-	err = raw.Read(func(descriptor uintptr) bool {
+	// Control, other than Read, does not fail for a deadline of the last use.
+	err = raw.Control(func(descriptor uintptr) {
 		var one [1]byte
 		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		found = peekErr != syscall.EAGAIN
-		return true
 	})
 	return err != nil || found
 }
--- a/pkg/transport/pgback/pgback_test.go
+++ b/pkg/transport/pgback/pgback_test.go
@@ -254,6 +254,14 @@
 		backend.Release(pgback.ReuseClean)
 	})
 
+	It("lends a connection again after the deadline of its last use", func() {
+		backend := acquire(1)
+		Expect(backend.SetDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		backend.Release(pgback.ReuseClean)
+		acquire(1).Release(pgback.ReuseClean)
+		Expect(d.logins.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("resets a connection before its next use", func() {
 		acquire(1).Release(pgback.ReuseAfterReset)
 		Expect(d.log()).To(Equal([]string{"DISCARD ALL"}))
--- a/pkg/transport/pgfront/cancel.go
+++ b/pkg/transport/pgfront/cancel.go
@@ -12,16 +12,38 @@
 // cancelTimeout bounds a cancel request to an upstream.
 const cancelTimeout = 2 * time.Second
 
-// running is the statement that a session has on an upstream. A cancel request
-// holds the lock until the upstream has taken it in, and the session takes the
-// lock before it goes on, so that no later statement on the connection is hit.
+// running is the statement that a session has on an upstream, or that waits
+// for one. A cancel request holds the lock until the upstream has taken it in,
+// and the session takes the lock before it goes on, so that no later statement
+// on the connection is hit.
 type running struct {
 	mu      sync.Mutex
 	backend pgback.Backend
+	// stopWait ends the wait for a ticket and a connection.
+	stopWait context.CancelFunc
+	// cancelled is true when a wait was ended by a cancel request.
+	cancelled bool
 	// unsure is true when a cancel request may still arrive.
 	unsure bool
 }
 
+// wait begins the wait for a ticket and a connection.
+func (r *running) wait(stop context.CancelFunc) {
+	r.mu.Lock()
+	r.stopWait = stop
+	r.cancelled = false
+	r.mu.Unlock()
+}
+
+// endWait ends the wait and reports whether a cancel request came meanwhile.
+func (r *running) endWait() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopWait()
+	r.stopWait = nil
+	return r.cancelled
+}
+
 func (r *running) set(backend pgback.Backend) {
 	r.mu.Lock()
 	r.backend = backend
@@ -39,10 +61,16 @@
 	return unsure
 }
 
-// cancel passes a request on to the upstream where a statement is running.
+// cancel passes a request on to the upstream where a statement is running, or
+// ends the wait for one.
 func (r *running) cancel(ctx context.Context) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stopWait != nil {
+		r.cancelled = true
+		r.stopWait()
+		return true
+	}
 	if r.backend == nil {
 		return false
 	}
--- a/pkg/transport/pgfront/complete.go
+++ b/pkg/transport/pgfront/complete.go
@@ -66,6 +66,7 @@
 		return verdict.New(verdict.MarkNotStored, verdict.MayHaveRun, "the position of the write is not known")
 	}
 	u.backend.Send(&pgproto3.Query{String: positionQuery})
+	u.unnamed = nil
 	u.x.expect(expected{kind: entryQuery, swallow: true, position: true})
 	if err := u.backend.Flush(); err != nil {
 		return s.lost(err).Error
--- a/pkg/transport/pgfront/exchange.go
+++ b/pkg/transport/pgfront/exchange.go
@@ -63,8 +63,8 @@
 }
 
 func (c *composer) run() *failure {
-	c.noteBatch()
 	c.addBegin()
+	c.noteBatch()
 	for i := range c.batch.entries {
 		e := &c.batch.entries[i]
 		if c.unit.x.errored && e.kind != entrySync {
@@ -137,6 +137,9 @@
 	default:
 		c.sendEntry(e)
 	}
+	if e.kind == entryQuery {
+		c.unit.unnamed = nil
+	}
 	c.unit.x.expect(answer)
 }
 
@@ -214,6 +217,7 @@
 		return
 	}
 	c.send(&pgproto3.Query{String: positionQuery})
+	c.unit.unnamed = nil
 	c.unit.x.expect(expected{kind: entryQuery, swallow: true, position: true})
 }
 
--- a/pkg/transport/pgfront/extended.go
+++ b/pkg/transport/pgfront/extended.go
@@ -1,6 +1,8 @@
 package pgfront
 
 import (
+	"time"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"gypsumdock/pkg/protocol/pgwire"
@@ -135,6 +137,7 @@
 }
 
 func (s *session) flushOutput() {
+	s.output.setDeadline(time.Now().Add(s.server.config.MessageTimeout))
 	if s.output.flush() != nil {
 		s.broken = true
 	}
--- a/pkg/transport/pgfront/relay.go
+++ b/pkg/transport/pgfront/relay.go
@@ -186,6 +186,7 @@
 	case bytes.Equal(tag, []byte("ROLLBACK")):
 		return
 	case bytes.Equal(tag, []byte("BEGIN")), bytes.Equal(tag, []byte("START TRANSACTION")):
+		u.explicit = true
 		return
 	case bytes.Equal(tag, []byte("DISCARD ALL")), bytes.Equal(tag, []byte("DEALLOCATE ALL")):
 		clear(s.statements)
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -56,6 +56,36 @@
 func (s *session) openUnit(b *batch, attempt int) *failure {
 	ctx, end := s.startSpan(b)
 	defer end()
+	ctx, stop := context.WithCancel(ctx)
+	s.running.wait(stop)
+	failed := s.admit(ctx, b, attempt)
+	if s.running.endWait() {
+		return &failure{Error: cancelledError(), final: true}
+	}
+	if failed == nil && s.isCallerGone(b) {
+		return &failure{Error: callerGoneError(), final: true}
+	}
+	return failed
+}
+
+func cancelledError() *verdict.Error {
+	return verdict.New(verdict.Cancelled, verdict.NotRun, "the statement was cancelled while it waited")
+}
+
+func callerGoneError() *verdict.Error {
+	return verdict.New(verdict.Cancelled, verdict.NotRun, "the caller left while its statement waited")
+}
+
+// longWait is the wait for a ticket after which the caller may have left.
+const longWait = 5 * time.Millisecond
+
+// isCallerGone reports whether the caller has closed its connection while b
+// waited.
+func (s *session) isCallerGone(b *batch) bool {
+	return time.Since(b.arrived) >= longWait && hasEnded(s.conn)
+}
+
+func (s *session) admit(ctx context.Context, b *batch, attempt int) *failure {
 	ticket, refused := s.server.config.Engine.Admit(ctx, s.describe(b, attempt))
 	if refused != nil {
 		return &failure{Error: refused, final: true}
--- a/pkg/transport/pgfront/upstream_test.go
+++ b/pkg/transport/pgfront/upstream_test.go
@@ -23,6 +23,8 @@
 	lsn atomic.Uint64
 	// accepted counts connections that have logged in.
 	accepted atomic.Int64
+	// failedBatches counts batches that an error rolled back.
+	failedBatches atomic.Int64
 
 	mu       sync.Mutex
 	executed []string
@@ -231,6 +233,9 @@
 	case *pgproto3.Terminate:
 		return false
 	case *pgproto3.Sync:
+		if c.skipping {
+			c.upstream.failedBatches.Add(1)
+		}
 		c.skipping = false
 		return c.ready()
 	case *pgproto3.Flush:
--- a/pkg/transport/pgfront/verdict_test.go
+++ b/pkg/transport/pgfront/verdict_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -191,6 +192,27 @@
 		other := b.connect(nil)
 		Expect(queryText(other, "select $1", "on")).To(Equal("on"))
 	})
+
+	It("has nothing run for it any more", func() {
+		b := newBench(1, nil)
+		ctx := context.Background()
+		first := b.connect(simpleProtocol)
+		_, err := first.Exec(ctx, "begin")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = first.Exec(ctx, "insert a")
+		Expect(err).NotTo(HaveOccurred())
+		second := b.connect(simpleProtocol)
+		raw := second.PgConn().Conn()
+		_, err = raw.Write(encode(&pgproto3.Query{String: "insert b"}))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return b.pools.Stats()[0].Waiting }).Should(Equal(1))
+		time.Sleep(10 * time.Millisecond)
+		Expect(raw.Close()).To(Succeed())
+		_, err = first.Exec(ctx, "commit")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(b.server.Sessions).Should(Equal(1))
+		Expect(b.upstream.log()).To(Equal([]string{"begin", "insert a", "commit"}))
+	})
 })
 
 var _ = Describe("a cancel request", func() {
@@ -244,6 +266,28 @@
 		Expect(stateOf(<-secondDone)).To(Equal("57014"))
 	})
 
+	It("ends the wait of a statement that has not been sent", func() {
+		b := newBench(1, nil)
+		first := b.connect(simpleProtocol)
+		second := b.connect(simpleProtocol)
+		ctx := context.Background()
+		_, err := first.Exec(ctx, "begin")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = first.Exec(ctx, "insert a")
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error, 1)
+		go func() {
+			_, err := second.Exec(ctx, "insert b")
+			done <- err
+		}()
+		Eventually(func() int { return b.pools.Stats()[0].Waiting }).Should(Equal(1))
+		Expect(second.PgConn().CancelRequest(ctx)).To(Succeed())
+		Expect(stateOf(<-done)).To(Equal("57014"))
+		_, err = first.Exec(ctx, "commit")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.upstream.log()).To(Equal([]string{"begin", "insert a", "commit"}))
+	})
+
 	It("with another's key does nothing", func() {
 		b := newBench(1, nil)
 		conn := b.connect(simpleProtocol)
