--- a/pkg/transport/pgback/pgback_test.go
+++ b/pkg/transport/pgback/pgback_test.go
@@ -235,14 +235,19 @@
 		Eventually(balance).Should(BeTrue())
 	})
 
-	It("does not reuse a connection of an older generation", func() {
-		old := acquire(1)
-		old.Release(pgback.ReuseClean)
-		inUse := acquire(1)
+	It("does not lend an idle connection of an older generation", func() {
+		acquire(1).Release(pgback.ReuseClean)
 		acquire(2).Release(pgback.ReuseClean)
 		Expect(d.logins.Load()).To(BeEquivalentTo(2))
+		Eventually(d.open.Load).Should(BeEquivalentTo(1))
+	})
+
+	It("closes a connection of an older generation on its release", func() {
+		inUse := acquire(1)
+		acquire(2).Release(pgback.ReuseClean)
 		inUse.Release(pgback.ReuseClean)
 		Eventually(d.open.Load).Should(BeEquivalentTo(1))
+		Expect(stats().Idle).To(Equal(1))
 	})
 
 	It("does not lend a connection that the database has closed", func() {
--- a/pkg/transport/pgfront/verdict_test.go
+++ b/pkg/transport/pgfront/verdict_test.go
@@ -144,9 +144,13 @@
 			return nil
 		}
 		conn := b.connect(simpleProtocol)
-		_, err := conn.Exec(ctx, "select wait /*route='short'*/")
+		_, err := conn.Exec(ctx, "select pause /*route='short'*/")
 		Expect(stateOf(err)).To(Equal("08007"))
 		Expect(queryText(conn, "select next")).To(Equal("next"))
+		b.upstream.resume()
+		for range 3 {
+			Expect(queryText(conn, "select later")).To(Equal("later"))
+		}
 		Expect(b.upstream.accepted.Load()).To(BeEquivalentTo(2))
 	})
 
