Name what a replica streams from, and where a promoted upstream's recovery ended

A probe asks pg_stat_wal_receiver and, after a promotion, pg_last_wal_replay_lsn(). The stand-in knew neither, so that no replica counted as reachable and no primary was replaced.

--- a/testbench/cluster/cluster.go
+++ b/testbench/cluster/cluster.go
@@ -76,7 +76,7 @@
 	if err = c.startPlatform(); err != nil {
 		return err
 	}
-	if err = c.startUpstreams(); err != nil {
+	if err = c.startUpstreams(ctx); err != nil {
 		return err
 	}
 	c.Folder = filepath.Join(c.dir, "folder")
@@ -115,7 +115,7 @@
 	return nil
 }
 
-func (c *Cluster) startUpstreams() error {
+func (c *Cluster) startUpstreams(ctx context.Context) error {
 	host, err := c.net.host()
 	if err != nil {
 		return err
@@ -137,7 +137,7 @@
 	c.Upstreams = upstreamd.Client{URL: c.Layout.Control}
 	for _, g := range c.Layout.Groups {
 		for _, u := range g.Upstreams {
-			if c.toUpstream[u.ID], err = c.proxy(u.Address); err != nil {
+			if err = c.placeUpstream(ctx, g.ID, u); err != nil {
 				return err
 			}
 		}
@@ -145,6 +145,19 @@
 	return nil
 }
 
+// placeUpstream puts a proxy before an upstream, and has its replicas name the
+// proxy as the address that they stream from.
+func (c *Cluster) placeUpstream(ctx context.Context, group string, u upstreamd.UpstreamLayout) error {
+	p, err := c.proxy(u.Address)
+	if err != nil {
+		return err
+	}
+	c.toUpstream[u.ID] = p
+	return c.Upstreams.Apply(ctx, upstreamd.Fault{
+		Group: group, Upstream: u.ID, Action: upstreamd.ActionAdvertise, Address: p.Address(),
+	})
+}
+
 func (c *Cluster) upstreamAddress(_, upstream string) string { return c.toUpstream[upstream].Address() }
 
 // ToUpstream returns the proxy between all instances and an upstream.
--- a/testbench/upstreamd/control.go
+++ b/testbench/upstreamd/control.go
@@ -37,6 +37,9 @@
 	ActionFollow Action = "follow"
 	// ActionPromote promotes a replica.
 	ActionPromote Action = "promote"
+	// ActionAdvertise sets the address, Address, that replicas name as the one
+	// they stream from.
+	ActionAdvertise Action = "advertise"
 	// ActionCosts sets Costs.
 	ActionCosts Action = "costs"
 )
@@ -49,6 +52,7 @@
 	LagMS    int        `json:"lag_ms,omitempty"`
 	Cut      *AnswerCut `json:"cut,omitempty"`
 	Costs    *Costs     `json:"costs,omitempty"`
+	Address  string     `json:"address,omitempty"`
 }
 
 // Status is the state of an upstream.
--- a/testbench/upstreamd/exec_read.go
+++ b/testbench/upstreamd/exec_read.go
@@ -45,8 +45,11 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedColumn, "column %q does not exist", string(name))
 }
 
-// Field returns a field of pg_control_checkpoint().
+// Field returns a field of pg_control_checkpoint() or pg_stat_wal_receiver.
 func (r *rowEnv) Field(function, field string) (sql.Value, error) {
+	if function == sql.RelationReceiver {
+		return r.exec.node.receiverField(field)
+	}
 	if function != "pg_control_checkpoint" {
 		return sql.Value{}, sql.Errorf(sql.CodeUndefinedFunction, "function %s() has no field %q", function, field)
 	}
@@ -124,10 +127,15 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedFunction, "function %s() does not exist", name)
 }
 
+// replicaPosition returns the position of the first count records on a replica,
+// where the recovery ended on a promoted node, and null on any other primary.
 func (n *node) replicaPosition(count int) sql.Value {
-	if n.primary {
+	if n.primary && n.recoveredTo == 0 {
 		return sql.Null(sql.TypeLSN)
 	}
+	if n.primary {
+		return sql.Value{Type: sql.TypeLSN, Text: n.recoveredTo.String()}
+	}
 	return sql.Value{Type: sql.TypeLSN, Text: n.position(count).String()}
 }
 
@@ -174,9 +182,14 @@
 	if call, isCall := query.Items[0].Expr.(sql.Call); isCall && call.Name == "generate_series" {
 		return series(call, env)
 	}
+	if query.From != nil && query.From.Name == sql.RelationReceiver && !e.node.isStreaming() {
+		return result{tag: countTag("SELECT", 0), next: noRows}, nil
+	}
 	return e.project(query.Items, env, "SELECT", nil)
 }
 
+func noRows() ([]sql.Value, bool) { return nil, false }
+
 // series yields its rows one by one, so that a large result takes no memory.
 func series(call sql.Call, env *rowEnv) (result, error) {
 	if len(call.Args) != 2 {
--- a/testbench/upstreamd/fault.go
+++ b/testbench/upstreamd/fault.go
@@ -59,6 +59,8 @@
 		return n.promote()
 	case ActionFollow:
 		return n.rejoin()
+	case ActionAdvertise:
+		return n.advertise(fault.Address)
 	case ActionCosts:
 		if fault.Costs == nil {
 			return errors.New("no costs given")
--- a/testbench/upstreamd/node.go
+++ b/testbench/upstreamd/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,9 @@
 	primary  bool
 	timeline uint32
 	wal      []*record
+	// recoveredTo is where the recovery of a promoted node ended; 0 on one that
+	// has been the primary since its start.
+	recoveredTo model.LSN
 	// replayed is the number of log records that table holds.
 	replayed int
 	table    map[string]string
@@ -68,9 +72,11 @@
 	alive context.Context
 	kill  context.CancelFunc
 
-	cutAnswer *AnswerCut
-	open      int
-	peak      int
+	// advertised is the address that replicas name as their sender.
+	advertised netip.AddrPort
+	cutAnswer  *AnswerCut
+	open       int
+	peak       int
 }
 
 func newNode(g *group, spec UpstreamSpec, log *execLog) *node {
@@ -162,6 +168,7 @@
 	n.stuck = false
 	n.replay()
 	n.primary = true
+	n.recoveredTo = n.position(n.replayed)
 	n.timeline++
 	n.appendRecord(changeBytes, nil)
 	n.log.add(Entry{
@@ -180,6 +187,7 @@
 	}
 	n.wal = append([]*record(nil), n.wal[:common]...)
 	n.primary = false
+	n.recoveredTo = 0
 	n.replayed = 0
 	n.timeline = firstTimeline
 	n.table = make(map[string]string)
--- a/testbench/upstreamd/server.go
+++ b/testbench/upstreamd/server.go
@@ -101,6 +101,9 @@
 	n.mu.Lock()
 	n.alive, n.kill = alive, kill
 	n.down = false
+	if !n.advertised.IsValid() {
+		n.advertised = listener.Addr().(*net.TCPAddr).AddrPort()
+	}
 	n.mu.Unlock()
 	s.tasks.Add(2)
 	go func() {
--- a/testbench/upstreamd/sql/ast.go
+++ b/testbench/upstreamd/sql/ast.go
@@ -69,6 +69,10 @@
 	ForUpdate bool
 }
 
+// RelationReceiver is PostgreSQL's view of what a replica streams from. It has
+// one row on a replica that streams, and none otherwise.
+const RelationReceiver = "pg_stat_wal_receiver"
+
 // Condition compares a column with a value; conditions are joined by AND.
 type Condition struct {
 	Column Column
--- a/testbench/upstreamd/sql/parser_select.go
+++ b/testbench/upstreamd/sql/parser_select.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if column, isName := expr.(Column); isName && column == RelationReceiver {
+		expr = Call{Name: RelationReceiver}
+	}
 	call, isCall := expr.(Call)
 	if !isCall {
 		return Errorf(CodeUndefinedTable, "relation %q does not exist", next.text)
--- a/testbench/upstreamd/sql/types.go
+++ b/testbench/upstreamd/sql/types.go
@@ -13,13 +13,15 @@
 	"pg_backend_pid":          TypeInt4,
 }
 
-// fieldTypes are the types of the fields of pg_control_checkpoint that are
-// not text.
+// fieldTypes are the types of the fields of pg_control_checkpoint and of
+// pg_stat_wal_receiver that are not text.
 var fieldTypes = map[string]Type{
 	"timeline_id":      TypeInt4,
 	"prev_timeline_id": TypeInt4,
 	"checkpoint_lsn":   TypeLSN,
 	"redo_lsn":         TypeLSN,
+	"sender_port":      TypeInt4,
+	"received_tli":     TypeInt4,
 }
 
 // TypeOf returns the type of an expression's value.
--- a/testbench/upstreamd/upstreamd_test.go
+++ b/testbench/upstreamd/upstreamd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/url"
 	"testing"
 
@@ -127,6 +128,13 @@
 		b := start(ctx, upstreamd.AuthScram)
 		const probe = `SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id,
 			CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END::text`
+		layout := b.server.Layout().Groups[0]
+		var host string
+		var port int32
+		const receiver = "SELECT sender_host, sender_port FROM pg_stat_wal_receiver"
+		Expect(b.connect(ctx, 0).QueryRow(ctx, receiver).Scan(&host, &port)).To(MatchError(pgx.ErrNoRows))
+		Expect(b.connect(ctx, 1).QueryRow(ctx, receiver).Scan(&host, &port)).To(Succeed())
+		Expect(fmt.Sprintf("%s:%d", host, port)).To(Equal(layout.Upstreams[0].Address))
 		var recovering bool
 		var timeline int32
 		var at string
@@ -175,6 +183,10 @@
 		_, err := replica.Exec(ctx, "SELECT pg_promote()")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(value(ctx, replica, "lost")).To(BeEmpty())
+		var before, after string
+		const ended = "SELECT pg_last_wal_replay_lsn()::text, pg_current_wal_lsn()::text"
+		Expect(replica.QueryRow(ctx, ended).Scan(&before, &after)).To(Succeed())
+		Expect(before < after).To(BeTrue(), "the new timeline starts where the recovery ended")
 		insert(ctx, replica, "new", "1")
 
 		b.fault(ctx, upstreamd.Fault{Upstream: "a", Action: upstreamd.ActionRevive})
