--- a/testbench/workload/workload.go
+++ b/testbench/workload/workload.go
@@ -1,6 +1,7 @@
 // Package workload runs sessions of callers against a cluster until it is told
 // to stop: each writes records, reads them back through other instances, and
-// sends requests that may not be repeated.
+// sends requests that may not be repeated. Sessions of the last caller only
+// read, with a stated age, what others write.
 package workload
 
 import (
@@ -65,9 +66,13 @@
 		session.Anonymous = options.Anonymous
 		group := groups[n%len(groups)]
 		random := rand.New(rand.NewPCG(options.Seed, uint64(n)))
+		run := r.run
+		if n%len(c.Profile().Callers) == len(c.Profile().Callers)-1 {
+			run = r.look
+		}
 		r.work.Go(func() {
 			defer session.Close()
-			r.run(ctx, session, group, random)
+			run(ctx, session, group, random)
 		})
 	}
 	return r
@@ -106,6 +111,14 @@
 	}
 }
 
+// look reads the records of the first session of the group.
+func (r *Running) look(ctx context.Context, s *caller.Session, group profile.Group, random *rand.Rand) {
+	for r.stopped.Err() == nil {
+		key := fmt.Sprintf("%s-%d-%d", r.cluster.Profile().Callers[0].Name, 0, random.IntN(2))
+		r.do(ctx, s, group, random, history.KindAged, key)
+	}
+}
+
 // do sends one request through an instance picked anew for each attempt.
 func (r *Running) do(
 	ctx context.Context, s *caller.Session, group profile.Group, random *rand.Rand, kind history.Kind, key string,
