--- a/testbench/upstreamd/exec_read.go
+++ b/testbench/upstreamd/exec_read.go
@@ -47,7 +47,7 @@
 
 // Field returns a field of pg_control_checkpoint() or pg_stat_wal_receiver.
 func (r *rowEnv) Field(function, field string) (sql.Value, error) {
-	if function == sql.RelationReceiver {
+	if function == sql.ViewWALReceiver {
 		return r.exec.node.receiverField(field)
 	}
 	if function != "pg_control_checkpoint" {
@@ -127,16 +127,16 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedFunction, "function %s() does not exist", name)
 }
 
-// replicaPosition returns the position of the first count records on a replica,
-// where the recovery ended on a promoted node, and null on any other primary.
+// replicaPosition returns the position of a replica. A primary that was
+// promoted keeps the position at which its recovery ended.
 func (n *node) replicaPosition(count int) sql.Value {
-	if n.primary && n.recoveredTo == 0 {
-		return sql.Null(sql.TypeLSN)
+	if !n.primary {
+		return sql.Value{Type: sql.TypeLSN, Text: n.position(count).String()}
 	}
-	if n.primary {
-		return sql.Value{Type: sql.TypeLSN, Text: n.recoveredTo.String()}
+	if n.recoveredAt == 0 {
+		return sql.Null(sql.TypeLSN)
 	}
-	return sql.Value{Type: sql.TypeLSN, Text: n.position(count).String()}
+	return sql.Value{Type: sql.TypeLSN, Text: n.recoveredAt.String()}
 }
 
 func (e *executor) selectRows(ctx context.Context, query sql.Select) (result, error) {
@@ -182,7 +182,7 @@
 	if call, isCall := query.Items[0].Expr.(sql.Call); isCall && call.Name == "generate_series" {
 		return series(call, env)
 	}
-	if query.From != nil && query.From.Name == sql.RelationReceiver && !e.node.isStreaming() {
+	if query.From != nil && query.From.Name == sql.ViewWALReceiver && !e.node.isStreaming() {
 		return result{tag: countTag("SELECT", 0), next: noRows}, nil
 	}
 	return e.project(query.Items, env, "SELECT", nil)
--- a/testbench/upstreamd/node.go
+++ b/testbench/upstreamd/node.go
@@ -53,9 +53,9 @@
 	primary  bool
 	timeline uint32
 	wal      []*record
-	// recoveredTo is where the recovery of a promoted node ended; 0 on one that
-	// has been the primary since its start.
-	recoveredTo model.LSN
+	// recoveredAt is the position at which a promotion ended recovery; zero
+	// for a primary that was never a replica.
+	recoveredAt model.LSN
 	// replayed is the number of log records that table holds.
 	replayed int
 	table    map[string]string
@@ -167,8 +167,8 @@
 	n.group.replicate()
 	n.stuck = false
 	n.replay()
+	n.recoveredAt = n.position(n.replayed)
 	n.primary = true
-	n.recoveredTo = n.position(n.replayed)
 	n.timeline++
 	n.appendRecord(changeBytes, nil)
 	n.log.add(Entry{
@@ -187,7 +187,7 @@
 	}
 	n.wal = append([]*record(nil), n.wal[:common]...)
 	n.primary = false
-	n.recoveredTo = 0
+	n.recoveredAt = 0
 	n.replayed = 0
 	n.timeline = firstTimeline
 	n.table = make(map[string]string)
--- a/testbench/upstreamd/receiver.go
+++ b/testbench/upstreamd/receiver.go
@@ -6,19 +6,11 @@
 	"gypsumdock/testbench/upstreamd/sql"
 )
 
-// sender returns the primary that the node streams from, or nil. The caller
-// holds the mutex.
+// sender returns the node that n streams from now, or nil. The caller holds the
+// mutex.
 func (n *node) sender() *node {
-	if n.primary || n.cut || n.down {
-		return nil
-	}
 	n.group.replicate()
-	source := n.group.source()
-	have := len(n.wal)
-	if source == nil || have > len(source.wal) || have > 0 && n.wal[have-1] != source.wal[have-1] {
-		return nil
-	}
-	return source
+	return n.group.sender(n)
 }
 
 func (n *node) isStreaming() bool {
--- a/testbench/upstreamd/sql/ast.go
+++ b/testbench/upstreamd/sql/ast.go
@@ -69,10 +69,6 @@
 	ForUpdate bool
 }
 
-// RelationReceiver is PostgreSQL's view of what a replica streams from. It has
-// one row on a replica that streams, and none otherwise.
-const RelationReceiver = "pg_stat_wal_receiver"
-
 // Condition compares a column with a value; conditions are joined by AND.
 type Condition struct {
 	Column Column
@@ -156,3 +152,7 @@
 func (Case) isExpr()    {}
 func (Binary) isExpr()  {}
 func (Cast) isExpr()    {}
+
+// ViewWALReceiver is PostgreSQL's view of the connection to the primary. It
+// has one row on a replica that streams, and none otherwise.
+const ViewWALReceiver = "pg_stat_wal_receiver"
--- a/testbench/upstreamd/sql/parser_select.go
+++ b/testbench/upstreamd/sql/parser_select.go
@@ -47,13 +47,15 @@
 		query.FromRecords = true
 		return p.table()
 	}
+	if p.acceptWord(ViewWALReceiver) {
+		query.From = &Call{Name: ViewWALReceiver}
+		p.alias()
+		return nil
+	}
 	expr, err := p.operand()
 	if err != nil {
 		return err
 	}
-	if column, isName := expr.(Column); isName && column == RelationReceiver {
-		expr = Call{Name: RelationReceiver}
-	}
 	call, isCall := expr.(Call)
 	if !isCall {
 		return Errorf(CodeUndefinedTable, "relation %q does not exist", next.text)
