Measure the failover gap and hand over from a promoter that is cut off

A deposed upstream on an older timeline no longer keeps the replicas out; a generation for which several candidates were named is marked as contested instead, since only then can two upstreams share its timeline.

--- a/pkg/state/failover/candidate.go
+++ b/pkg/state/failover/candidate.go
@@ -48,8 +48,8 @@
 }
 
 // isUsableReplica reports whether reads may go to up. Where another upstream
-// has started the head's timeline too, only a replica that is known to follow
-// the primary is on its history.
+// may have started the head's timeline too, only a replica that is known to
+// follow the primary is on its history.
 func (m *Machine) isUsableReplica(g *group, gh model.GroupHead, up *upstream) bool {
 	if !m.isReplica(gh, up) || up.spec.Leaving {
 		return false
@@ -57,7 +57,7 @@
 	if m.cfg.Rules.TrustTimeline || up.probe.Follows == gh.Primary {
 		return true
 	}
-	return up.probe.Follows == "" && len(g.deposed) == 0
+	return up.probe.Follows == "" && !gh.Contested && !g.twin
 }
 
 // noteDeposed records an upstream that takes writes although the head names
@@ -67,6 +67,9 @@
 		if up.spec.ID == gh.Primary || !m.isProbeFresh(up) || up.probe.Recovering {
 			continue
 		}
+		if up.probe.Timeline == gh.Timeline {
+			g.twin = true
+		}
 		if g.deposed[up.spec.ID] {
 			continue
 		}
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -28,7 +28,11 @@
 	// ownLost is true while this instance's own probes have lost the primary.
 	ownLost bool
 	planned plannedSwitch
+	// deposed holds the upstreams that were found to take writes in this
+	// generation although they are not its primary.
 	deposed map[model.UpstreamID]bool
+	// twin is true once one of them was found on the head's timeline.
+	twin bool
 }
 
 // upstream is the newest result of the probes of an upstream.
@@ -123,6 +127,7 @@
 	g.lost = false
 	g.planned = plannedSwitch{}
 	g.deposed = map[model.UpstreamID]bool{}
+	g.twin = false
 	for _, up := range g.upstreams {
 		up.failures = 0
 		up.healthyAt = now
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -176,9 +176,46 @@
 			return
 		}
 	}
+	if candidate != nil && m.isLost(candidate) && m.handOver(g, gh, changes) {
+		return
+	}
 	m.order(g, gh)
 }
 
+// handOver names the next heard member as promoter, if this instance reaches
+// none of the upstreams.
+func (m *Machine) handOver(g *group, gh model.GroupHead, changes *edits) bool {
+	for _, up := range g.upstreams {
+		if !m.isLost(up) {
+			return false
+		}
+	}
+	next := m.nextPromoter()
+	if next == "" || m.now-g.seal.contentAt < m.cfg.DetectAfter {
+		return false
+	}
+	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal.By = next })
+	return true
+}
+
+// nextPromoter returns the heard member after this instance in the order of IDs,
+// which is circular; empty if none is heard.
+func (m *Machine) nextPromoter() model.InstanceID {
+	first := model.InstanceID("")
+	for _, member := range m.head.Members {
+		if member.ID == m.self || member.Evicted != 0 || !m.tracker.IsHeard(m.now, member.ID) {
+			continue
+		}
+		if member.ID > m.self {
+			return member.ID
+		}
+		if first == "" {
+			first = member.ID
+		}
+	}
+	return first
+}
+
 // otherCandidate returns the upstream that is to start the next generation in
 // place of candidate, before anything is ordered; empty keeps candidate.
 func (m *Machine) otherCandidate(g *group, gh model.GroupHead, candidate *upstream) model.UpstreamID {
@@ -262,9 +299,19 @@
 	m.startOn(gh, gh.Timeline, primary.probe.LSN, changes)
 }
 
+// isContested reports whether another upstream may have started the timeline of
+// the generation that follows gh.
+func isContested(gh model.GroupHead) bool {
+	if gh.Seal.Candidate == gh.Primary {
+		return gh.Contested
+	}
+	return gh.Seal.Next > gh.Generation+1
+}
+
 func (m *Machine) startOn(gh model.GroupHead, timeline uint32, start model.LSN, changes *edits) {
 	changes.addGroup(gh.ID, func(group *model.GroupHead) {
 		group.Generation = gh.Seal.Next
+		group.Contested = isContested(gh)
 		group.Primary = gh.Seal.Candidate
 		group.StartLSN = start
 		group.Timeline = timeline
--- a/pkg/state/failover/search/platform_test.go
+++ b/pkg/state/failover/search/platform_test.go
@@ -19,6 +19,8 @@
 	startedAt time.Duration
 	reads     int
 	writes    int
+	// onSeal is called once, when the group is sealed.
+	onSeal func(*world)
 }
 
 func (t *table) group() model.GroupHead {
@@ -98,6 +100,10 @@
 		t.startedAt = t.w.now
 	}
 	t.head = next
+	if t.onSeal != nil && after.Seal != nil {
+		t.onSeal(t.w)
+		t.onSeal = nil
+	}
 	return failover.WriteApplied
 }
 
--- /dev/null
+++ b/pkg/state/failover/search/scenario_test.go
@@ -0,0 +1,161 @@
+package search_test
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+const (
+	settled     = 5 * time.Second
+	scenarioFor = 10 * time.Second
+	loadFor     = 60 * time.Second
+)
+
+// quiet returns a world of four instances without faults, settled.
+func quiet(seed uint64) *world {
+	w := newWorld(seed, failover.Rules{}, gapInstances)
+	w.run(settled)
+	return w
+}
+
+func (w *world) continueFor(d time.Duration) {
+	w.run(w.now + d)
+	Expect(w.violation).To(BeEmpty())
+}
+
+// lostWrites counts the acknowledged writes that the group no longer has.
+func (w *world) lostWrites() int {
+	primary := w.server(w.table.group().Primary)
+	lost := 0
+	for _, a := range w.acked {
+		if !w.contains(primary.branch, a.branch, a.lsn) {
+			lost++
+		}
+	}
+	return lost
+}
+
+// longestPause returns the longest time between two acknowledged writes.
+func (w *world) longestPause(since time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for i := range w.acked[1:] {
+		if w.acked[i+1].at > since {
+			longest = max(longest, w.acked[i+1].at-w.acked[i].at)
+		}
+	}
+	return longest
+}
+
+func (w *world) askSwitch(target model.UpstreamID) {
+	w.nodes[0].handle(failover.SwitchAsked{Group: groupID, Target: target})
+}
+
+var _ = Describe("a group", func() {
+	It("keeps a healthy primary that one data centre cannot reach", func() {
+		w := quiet(1)
+		for _, n := range w.nodes {
+			n.noUpstream["u1"] = n.dc == w.nodes[0].dc
+		}
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Generation).To(BeEquivalentTo(1))
+	})
+
+	It("loses nothing in a planned switch", func() {
+		for seed := range uint64(gapSeeds) {
+			w := quiet(seed)
+			w.askSwitch("u2")
+			w.continueFor(scenarioFor)
+			Expect(w.table.group().Primary).To(BeEquivalentTo("u2"))
+			Expect(w.lostWrites()).To(BeZero())
+			Expect(w.longestPause(settled)).To(BeNumerically("<", 2*time.Second))
+		}
+	})
+
+	It("goes on with the old primary when the target of a switch is late", func() {
+		w := quiet(2)
+		w.server("u2").stuck = true
+		w.askSwitch("u2")
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Primary).To(BeEquivalentTo("u1"))
+		Expect(w.table.group().Generation).To(BeEquivalentTo(3))
+		Expect(w.lostWrites()).To(BeZero())
+		Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second))
+	})
+
+	It("takes writes by promises of all while the platform is down, and none with a member missing", func() {
+		w := quiet(3)
+		w.table.down = true
+		w.continueFor(searchMaxPromise - time.Second)
+		Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second))
+		w.nodes[3].dead = true
+		died := w.now
+		w.continueFor(scenarioFor)
+		Expect(w.lastAck).To(BeNumerically("<", died+4*time.Second))
+		view, _ := w.nodes[0].view.Group(groupID)
+		Expect(view.Replicas).NotTo(BeEmpty())
+	})
+
+	It("takes writes by promises while the platform is slower than a permit is long", func() {
+		w := quiet(4)
+		w.table.delayMax = 4 * time.Second
+		w.continueFor(searchMaxPromise + scenarioFor)
+		Expect(w.longestPause(settled)).To(BeNumerically("<", time.Second))
+	})
+
+	It("gives a deposed primary no work until it follows", func() {
+		w := quiet(5)
+		w.server("u1").alive = false
+		w.continueFor(scenarioFor)
+		w.server("u1").alive = true
+		w.continueFor(scenarioFor)
+		for _, n := range w.nodes {
+			view, _ := n.view.Group(groupID)
+			Expect(view.Primary).NotTo(BeEquivalentTo("u1"))
+			Expect(view.Replicas).NotTo(ContainElement(HaveField("ID", BeEquivalentTo("u1"))))
+		}
+		w.healed = true
+		w.continueFor(scenarioFor)
+		view, _ := w.nodes[0].view.Group(groupID)
+		Expect(view.Replicas).To(ContainElement(HaveField("ID", BeEquivalentTo("u1"))))
+	})
+
+	It("keeps its permits when an instance stops gracefully", func() {
+		w := quiet(6)
+		w.nodes[1].handle(failover.StopAsked{})
+		w.continueFor(time.Second)
+		_, held := w.nodes[1].permit()
+		Expect(held).To(BeTrue())
+		w.nodes[1].handle(failover.StopFinished{})
+		w.continueFor(time.Second)
+		_, held = w.nodes[1].permit()
+		Expect(held).To(BeFalse())
+		_, registered := w.table.head.Member(w.nodes[1].id)
+		Expect(registered).To(BeFalse())
+		Expect(w.longestPause(settled)).To(BeNumerically("<", time.Second))
+	})
+})
+
+var _ = Describe("the load on the table", func() {
+	It("is one read per instance and second and no write at rest", func() {
+		for _, instances := range []int{4, 8, 16} {
+			w := newWorld(0, failover.Rules{}, instances)
+			w.run(settled)
+			reads, writes := w.table.reads, w.table.writes
+			w.continueFor(loadFor)
+			perInstance := float64(w.table.reads-reads) / float64(instances) / loadFor.Seconds()
+			if os.Getenv("GAP_TABLE") != "" {
+				fmt.Printf("| %d instances | %.2f reads per instance and second | %d writes in %v | %d writes to register |\n",
+					instances, perInstance, w.table.writes-writes, loadFor, writes)
+			}
+			Expect(perInstance).To(BeNumerically("<", 1.1))
+			Expect(w.table.writes).To(Equal(writes))
+		}
+	})
+})
--- a/pkg/state/model/head.go
+++ b/pkg/state/model/head.go
@@ -31,6 +31,9 @@
 	StartLSN LSN `json:"start_lsn"`
 	// Timeline is the PostgreSQL timeline of the primary in this generation.
 	Timeline uint32 `json:"timeline"`
+	// Contested is true when another upstream may have started Timeline too,
+	// since more than one candidate was named for this generation.
+	Contested bool `json:"contested,omitempty"`
 	// Seal is nil while the primary may take writes.
 	Seal *Seal `json:"seal,omitempty"`
 }
