Log the mesh's events and count its bytes and calls

The mesh logged two lines without numbers, and a peer that sent bytes that are no yamux frame was closed without a word. The observer of the engine leaves the events of a statement's way to the path, which logs them.

--- a/pkg/coordination/observe/engine.go
+++ b/pkg/coordination/observe/engine.go
@@ -21,7 +21,8 @@
 const logInterval = time.Second
 
 // Engine is a traffic.Engine whose units of work are counted and whose
-// failures are logged. A unit that the path tries again counts once for each
+// refusals are logged; what befalls a statement on its way is logged by the
+// path itself. A unit that the path tries again counts once for each
 // try, so that requests equal answers plus what is in flight.
 type Engine struct {
 	inner     traffic.Engine
@@ -31,7 +32,6 @@
 	upstreams *cache[model.UpstreamID, *metrics.Histogram]
 	overload  *cache[model.GroupID, *overload]
 
-	mayHaveRun, upstreamLost *events.Throttle
 	writeLost, markNotStored *events.Throttle
 }
 
@@ -46,8 +46,6 @@
 		groups:        groupCache(),
 		upstreams:     upstreamCache(),
 		overload:      newCache(func(model.GroupID) *overload { return &overload{} }),
-		mayHaveRun:    events.NewThrottle(events.RequestMayHaveRun, logInterval),
-		upstreamLost:  events.NewThrottle(events.UpstreamLost, logInterval),
 		writeLost:     events.NewThrottle(events.WriteLost, logInterval),
 		markNotStored: events.NewThrottle(events.MarkNotStored, logInterval),
 	}
@@ -121,15 +119,8 @@
 	if r.Latency > 0 {
 		e.upstreams.get(t.Upstream.ID).Update(r.Latency.Seconds())
 	}
-	ctx := context.Background()
-	if r.Broken {
-		e.upstreamLost.Log(ctx, e.logger, ticketAttrs(t)...)
-	}
-	switch r.Outcome {
-	case verdict.Ran:
+	if r.Outcome == verdict.Ran {
 		series.ran(t, e.now())
-	case verdict.MayHaveRun:
-		e.mayHaveRun.Log(ctx, e.logger, ticketAttrs(t)...)
 	}
 }
 
--- a/pkg/coordination/observe/engine_test.go
+++ b/pkg/coordination/observe/engine_test.go
@@ -96,13 +96,14 @@
 		Expect(out.String()).To(MatchRegexp(`event=420 group=overload\n.*event=421 group=overload\n$`))
 	})
 
-	It("logs requests that may have run, lost upstreams and lost writes", func() {
+	It("logs lost writes and marks that were not stored", func() {
 		engine, inner, out := build("failures")
 		ticket, _ := engine.Admit(ctx, traffic.Statement{Database: "db"})
 		inner.refuse = verdict.New(verdict.WriteLost, verdict.MayHaveRun, "lost")
 		Expect(engine.MayAcknowledge(ctx, ticket, 1)).To(Equal(inner.refuse))
-		engine.Done(ticket, traffic.Result{Outcome: verdict.MayHaveRun, Broken: true})
-		Expect(out.String()).To(And(ContainSubstring("event=401"), ContainSubstring("event=122"), ContainSubstring("event=110")))
+		inner.refuse = verdict.New(verdict.MarkNotStored, verdict.MayHaveRun, "no home")
+		Expect(engine.MayAcknowledge(ctx, ticket, 1)).To(Equal(inner.refuse))
+		Expect(out.String()).To(And(ContainSubstring("event=401"), ContainSubstring("event=402")))
 		Expect(telemetry.WritesLost.With("failures").Get()).To(Equal(uint64(1)))
 	})
 
--- a/pkg/events/mesh.go
+++ b/pkg/events/mesh.go
@@ -23,8 +23,8 @@
 		Number:  203,
 		Name:    "peer lost",
 		Level:   slog.LevelWarn,
-		Meaning: "A mesh session ended without a planned stop of the peer.",
-		Action:  "If the peer is not being replaced: check the instance and the network.",
+		Meaning: "A mesh session ended.",
+		Action:  "If the peer is not being stopped or replaced: check the instance and the network.",
 	})
 	// PeerRefused is event 204.
 	PeerRefused = define(Event{
@@ -58,11 +58,11 @@
 		Meaning: "A peer gave no answer within mesh.call_timeout.",
 		Action:  "Many: check the peer's load.",
 	})
-	// ForwardRefused is event 208.
-	ForwardRefused = define(Event{
+	// PeerUnreachable is event 208.
+	PeerUnreachable = define(Event{
 		Number:  208,
-		Name:    "forward refused",
+		Name:    "peer unreachable",
 		Level:   slog.LevelDebug,
-		Meaning: "A peer had no room for a forwarded unit of work.",
+		Meaning: "An attempt to open a mesh session with a peer failed; others follow.",
 	})
 )
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -24,9 +24,9 @@
 // Metrics of the mesh.
 var (
 	MeshPeers    = gauge("gypsumdock_mesh_peers", "Peers with an open mesh session.")
-	MeshCalls    = counter("gypsumdock_mesh_calls_total", "Calls to peers, by kind and result: ok, timeout or failed.", "kind", "result")
-	MeshBytes    = counter("gypsumdock_mesh_bytes_total", "Bytes of mesh traffic, by direction: in or out.", "direction")
-	MeshForwards = counter("gypsumdock_mesh_forwards_total", "Units of work forwarded to a peer.", "group")
+	MeshCalls    = counter("gypsumdock_mesh_calls_total", "Calls to peers, by result: ok, timeout or failed.", "result")
+	MeshBytes    = counter("gypsumdock_mesh_bytes_total", "Bytes of mesh traffic on the wire, by direction: in or out.", "direction")
+	MeshForwards = counter("gypsumdock_mesh_forwards_total", "Units of work forwarded to a peer.")
 )
 
 // Metrics of failover and permits.
--- a/pkg/transport/mesh/accept.go
+++ b/pkg/transport/mesh/accept.go
@@ -18,6 +18,7 @@
 		if err != nil {
 			return
 		}
+		conn = countedConn{conn}
 		if n.config.ServerTLS != nil {
 			conn = tls.Server(conn, n.config.ServerTLS)
 		}
@@ -53,12 +54,12 @@
 func (n *Node) serveConn(conn net.Conn) {
 	hello, err := handshake(conn, n.config)
 	if err != nil {
-		n.reportBadPeer(conn, err)
+		n.reportRefused(conn, err)
 		return
 	}
 	session, err := yamux.Server(conn, yamuxConfig(n.config))
 	if err != nil {
-		n.reportBadPeer(conn, err)
+		n.reportRefused(conn, err)
 		return
 	}
 	defer func() { _ = session.Close() }()
@@ -66,11 +67,14 @@
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
+			if isViolation(err) {
+				n.reportBadFrame(conn, err)
+			}
 			return
 		}
 		n.group.Go(func() {
 			if err := n.serveStream(from, stream); err != nil {
-				n.reportBadPeer(conn, err)
+				n.reportBadFrame(conn, err)
 				_ = session.Close()
 			}
 		})
--- a/pkg/transport/mesh/errors.go
+++ b/pkg/transport/mesh/errors.go
@@ -18,11 +18,3 @@
 	}
 	return err
 }
-
-// reportBadPeer logs a session that was closed for what its peer sent.
-func (n *Node) reportBadPeer(conn net.Conn, err error) {
-	if ignoreClosed(err) == nil || n.ctx.Err() != nil {
-		return
-	}
-	n.config.Logger.Warn("mesh session refused", "remote", conn.RemoteAddr().String(), "error", err)
-}
--- a/pkg/transport/mesh/link.go
+++ b/pkg/transport/mesh/link.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
 
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/model"
 )
@@ -25,6 +26,8 @@
 	peer   model.Member
 	ctx    context.Context
 	cancel context.CancelFunc
+	// timeouts logs calls without an answer in time.
+	timeouts *events.Throttle
 
 	// mu guards the fields below. It is never held during I/O.
 	mu      sync.Mutex
@@ -43,9 +46,15 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		pending: make(map[uint64]chan *meshpb.Envelope),
+
+		timeouts: events.NewThrottle(events.PeerCallTimedOut, timeoutLogInterval),
 	}
 }
 
+// timeoutLogInterval is the least time between two logs of calls to a peer
+// that got no answer in time.
+const timeoutLogInterval = time.Second
+
 // run keeps the session open until the link's context ends.
 func (l *link) run() {
 	wait := backoff.NewExponentialBackOff()
@@ -59,7 +68,7 @@
 		if l.ctx.Err() != nil {
 			return
 		}
-		l.config.Logger.Debug("mesh session ended", "peer", l.peer.ID, "error", err)
+		l.reportEnd(served, err)
 		select {
 		case <-l.ctx.Done():
 		case <-time.After(wait.NextBackOff()):
@@ -97,17 +106,6 @@
 	return id == l.peer.ID || strings.HasPrefix(string(l.peer.ID), seedPrefix)
 }
 
-func (l *link) dial() (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, l.config.HandshakeTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	if l.config.ClientTLS == nil {
-		return dialer.DialContext(ctx, "tcp", l.peer.Address)
-	}
-	secure := tls.Dialer{NetDialer: &dialer, Config: l.config.ClientTLS}
-	return secure.DialContext(ctx, "tcp", l.peer.Address)
-}
-
 // serveSession runs the message stream until it fails.
 func (l *link) serveSession(session *yamux.Session) error {
 	stream, err := session.OpenStream()
@@ -120,6 +118,7 @@
 	}
 	queue := l.attach(session)
 	defer l.detach()
+	l.report(events.PeerConnected)
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
@@ -212,6 +211,16 @@
 }
 
 func (l *link) call(ctx context.Context, message *meshpb.Envelope) (*meshpb.Envelope, error) {
+	reply, err := l.exchange(ctx, message)
+	resultOf(err).Inc()
+	if errors.Is(err, context.DeadlineExceeded) {
+		l.timeouts.Log(ctx, l.config.Logger, slog.String("peer", string(l.peer.ID)))
+	}
+	return reply, err
+}
+
+// exchange sends message and waits for its answer.
+func (l *link) exchange(ctx context.Context, message *meshpb.Envelope) (*meshpb.Envelope, error) {
 	id, answer, err := l.register(message)
 	if err != nil {
 		return nil, err
@@ -263,6 +272,7 @@
 		_ = stream.Close()
 		return nil, errors.Wrap(err, "open forward stream")
 	}
+	forwards.Inc()
 	return stream, nil
 }
 
--- a/pkg/transport/mesh/mesh_test.go
+++ b/pkg/transport/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/mesh"
 )
 
@@ -105,8 +106,10 @@
 		Expect(err).To(MatchError(mesh.ErrPeerUnreachable))
 	})
 
-	DescribeTable("closes only the session that sent malformed bytes",
-		func(ctx SpecContext, garbage []byte, afterHello bool) {
+	DescribeTable("closes only the session that sent malformed bytes, and logs why",
+		func(ctx SpecContext, garbage []byte, afterHello bool, event string) {
+			logged := telemetry.EventsLogged.With(event)
+			before := logged.Get()
 			conn, err := net.Dial("tcp", right.Address)
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = conn.Close() }()
@@ -119,12 +122,13 @@
 			Expect(err).NotTo(HaveOccurred())
 			_, err = io.Copy(io.Discard, bufio.NewReader(conn))
 			Expect(err).To(Or(BeNil(), MatchError(ContainSubstring("reset"))))
+			Eventually(logged.Get).Should(Equal(before + 1))
 			_, err = left.Call(ctx, "right", askOf("still here"))
 			Expect(err).NotTo(HaveOccurred())
 		},
-		Entry("in place of the hello", []byte{0x05, 0xff, 0xff, 0xff, 0xff, 0xff}, false),
-		Entry("a hello over the frame limit", []byte{0xff, 0xff, 0xff, 0xff, 0x0f}, false),
-		Entry("in place of a yamux frame", []byte("GET / HTTP/1.1\r\n\r\n"), true),
+		Entry("in place of the hello", []byte{0x05, 0xff, 0xff, 0xff, 0xff, 0xff}, false, "204"),
+		Entry("a hello over the frame limit", []byte{0xff, 0xff, 0xff, 0xff, 0x0f}, false, "206"),
+		Entry("in place of a yamux frame", []byte("GET / HTTP/1.1\r\n\r\n"), true, "205"),
 	)
 })
 
--- a/pkg/transport/mesh/node.go
+++ b/pkg/transport/mesh/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/model"
 )
@@ -35,6 +37,8 @@
 		links:   make(map[model.InstanceID]*link),
 		inbound: make(map[net.Conn]struct{}),
 	}
+	events.Log(ctx, n.config.Logger, events.MeshListening,
+		slog.String("address", n.config.Listener.Addr().String()))
 	n.group.Go(n.accept)
 	return n
 }
