--- a/pkg/coordination/engine/engine.go
+++ b/pkg/coordination/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/coordination/share"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/marks"
 	"gypsumdock/pkg/state/model"
@@ -55,7 +56,7 @@
 	// mu guards the maps below; their values have locks of their own.
 	mu       sync.RWMutex
 	lanes    map[model.UpstreamID]*lane
-	samplers map[model.GroupID]*sampler
+	samplers map[model.GroupID]*share.Call[sample]
 	watches  map[model.UpstreamID]*watch
 	writes   map[generation]*atomic.Int64
 }
@@ -71,7 +72,7 @@
 	e := &Engine{
 		config:   config,
 		lanes:    make(map[model.UpstreamID]*lane),
-		samplers: make(map[model.GroupID]*sampler),
+		samplers: make(map[model.GroupID]*share.Call[sample]),
 		watches:  make(map[model.UpstreamID]*watch),
 		writes:   make(map[generation]*atomic.Int64),
 	}
--- a/pkg/coordination/engine/route.go
+++ b/pkg/coordination/engine/route.go
@@ -102,7 +102,7 @@
 // sample takes a position of the primary as the floor. Where there is none,
 // the read goes to the primary.
 func (u *unit) sample(ctx context.Context, request *routing.Request) {
-	at, known := u.engine.samplePrimary(ctx, u.group)
+	at, known := u.engine.samplePrimary(ctx, u.group.ID)
 	if !known {
 		route := *u.route
 		route.ReadOnly = false
--- /dev/null
+++ b/pkg/coordination/share/export_test.go
@@ -0,0 +1,8 @@
+package share
+
+// Waiting returns the number of callers that wait for the next question.
+func (c *Call[T]) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting)
+}
