Read the head row once for a large data centre, and hold retries to a budget

The platform's reads would grow with the instances: two reads a second each are 2,000 a second at 1,000 instances.

--- a/pkg/coordination/engine/admit.go
+++ b/pkg/coordination/engine/admit.go
@@ -12,9 +12,6 @@
 	"gypsumdock/pkg/verdict"
 )
 
-// maxAttempts bounds the tries of one unit of work by the path.
-const maxAttempts = 4
-
 // Admit picks the upstream for s and waits for a slot, within the route's
 // deadline.
 func (e *Engine) Admit(ctx context.Context, s traffic.Statement) (*traffic.Ticket, *verdict.Error) {
@@ -28,9 +25,6 @@
 }
 
 func (e *Engine) admit(ctx context.Context, s traffic.Statement) (*traffic.Ticket, *verdict.Error) {
-	if s.Attempt >= maxAttempts {
-		return nil, verdict.New(verdict.Overloaded, verdict.NotRun, "too many tries").WithRetryAfter(e.advice())
-	}
 	snapshot := e.snapshot.Load()
 	group, found := snapshot.Bundle.GroupOfDatabase(s.Database)
 	if !found {
@@ -40,6 +34,9 @@
 	u.deadline = s.Arrived.Add(u.route.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, u.deadline)
 	defer cancel()
+	if refused := e.mayTry(ctx, s, u.deadline); refused != nil {
+		return nil, refused
+	}
 	return u.admit(ctx)
 }
 
--- a/pkg/coordination/engine/engine.go
+++ b/pkg/coordination/engine/engine.go
@@ -52,6 +52,7 @@
 	snapshot atomic.Pointer[control.Snapshot]
 	callers  atomic.Pointer[func() int]
 	stats    counters
+	retries  *retries
 
 	// mu guards the maps below; their values have locks of their own.
 	mu       sync.RWMutex
@@ -71,6 +72,7 @@
 func New(config Config) *Engine {
 	e := &Engine{
 		config:   config,
+		retries:  newRetries(),
 		lanes:    make(map[model.UpstreamID]*lane),
 		samplers: make(map[model.GroupID]*share.Call[sample]),
 		watches:  make(map[model.UpstreamID]*watch),
--- a/pkg/coordination/engine/stats.go
+++ b/pkg/coordination/engine/stats.go
@@ -6,6 +6,7 @@
 type counters struct {
 	admitted, refused, done atomic.Uint64
 	samples, watches        atomic.Uint64
+	retries                 atomic.Uint64
 }
 
 // Stats are the engine's counts since the start of the process. Admitted
@@ -15,6 +16,8 @@
 	// Samples counts the questions to primaries, and Watches those to
 	// replicas, beyond the probes.
 	Samples, Watches uint64
+	// Retries counts the further tries that the budget allowed.
+	Retries uint64
 }
 
 // Stats returns the counts.
@@ -25,6 +28,7 @@
 		Admitted: e.stats.admitted.Load(),
 		Samples:  e.stats.samples.Load(),
 		Watches:  e.stats.watches.Load(),
+		Retries:  e.stats.retries.Load(),
 	}
 }
 
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -70,6 +70,9 @@
 		Positions: i.prober,
 		Random:    rand.Uint64,
 	})
+	store := headstore.New(i.table(), i.settings.Instance.Region)
+	view := func() *failover.View { return &i.loop.Snapshot().View }
+	i.heads = headstore.NewRelayed(store, i.self, peers, view)
 	loop, err := control.New(control.Config{
 		Self:           i.self,
 		Failover:       i.failoverConfig(),
@@ -79,7 +82,7 @@
 		PromoteTimeout: i.settings.Failover.PromoteTimeout,
 		Admin:          i.listeners.admin.Addr().String(),
 		Clock:          i.clock,
-		Store:          headstore.New(i.table(), i.settings.Instance.Region),
+		Store:          i.heads,
 		Platform:       platformServices{i.platform.Objects(), i.platform},
 		Upstreams:      upstreams{i.prober},
 		Peers:          peers,
@@ -127,7 +130,7 @@
 		Self:          i.self,
 		Region:        i.settings.Instance.Region,
 		Listener:      i.listeners.mesh,
-		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions},
+		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions, Reader: i.heads},
 		Logger:        i.logger,
 		ServerTLS:     server,
 		ClientTLS:     client,
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -15,6 +15,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/headstore"
 	"gypsumdock/pkg/coordination/platform"
 	"gypsumdock/pkg/coordination/sessions"
 	"gypsumdock/pkg/events"
@@ -40,6 +41,7 @@
 	pools     *pgback.Pools
 	engine    *engine.Engine
 	sessions  *sessions.Service
+	heads     *headstore.Relayed
 	loop      *control.Loop
 	mesh      *mesh.Node
 	front     *pgfront.Server
--- a/pkg/transport/meshpeer/inbound.go
+++ b/pkg/transport/meshpeer/inbound.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
@@ -14,6 +15,7 @@
 type Inbound struct {
 	Control  Control
 	Homes    Homes
+	Reader   Reader
 	Forwards Forwards
 }
 
@@ -23,7 +25,7 @@
 	case *meshpb.Envelope_Status:
 		h.Control.StatusReceived(from, meshlink.DecodeStatus(body.Status))
 	case *meshpb.Envelope_HeadAsk:
-		reply(h.head())
+		h.handleHeadAsk(body.HeadAsk, reply)
 	case *meshpb.Envelope_BundleAsk:
 		reply(h.bundle(body.BundleAsk.GetDigest()))
 	default:
@@ -64,6 +66,27 @@
 	h.Control.PeerReceived(from, decoded)
 }
 
+// handleHeadAsk answers with the head row as it is known, or reads it first.
+func (h *Inbound) handleHeadAsk(ask *meshpb.HeadAsk, reply func(*meshpb.Envelope)) {
+	if !ask.GetFresh() {
+		reply(h.head())
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		defer cancel()
+		head, err := h.Reader.ReadFor(ctx)
+		if err != nil {
+			reply(meshlink.EncodeFailure("the table gave no answer"))
+			return
+		}
+		reply(meshlink.EncodeHeadAnswer(head, model.RowVersion(ask.GetKnownVersion())))
+	}()
+}
+
+// readTimeout bounds a read of the table for a peer.
+const readTimeout = 2 * time.Second
+
 func (h *Inbound) head() *meshpb.Envelope {
 	head := h.Control.Snapshot().View.Head
 	if head == nil {
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -47,6 +47,11 @@
 	HandedOver(from model.InstanceID, row model.RowVersion)
 }
 
+// Reader reads the head row for peers. The read starts after the call.
+type Reader interface {
+	ReadFor(ctx context.Context) (*model.Head, error)
+}
+
 // Forwards serves units of work that peers forward. It owns conn.
 type Forwards interface {
 	Serve(ctx context.Context, from model.InstanceID, open *meshpb.ForwardOpen, conn net.Conn)
@@ -128,6 +133,16 @@
 	return nil, ErrNoAnswer
 }
 
+// FreshHead returns the head row, read from the table by the relay after the
+// question arrived there.
+func (p *Peers) FreshHead(ctx context.Context, relay model.InstanceID, known *model.Head) (*model.Head, error) {
+	answer, err := p.call(ctx, relay, meshlink.EncodeFreshHeadAsk(known.Version))
+	if err != nil {
+		return nil, err
+	}
+	return meshlink.DecodeHeadAnswer(answer, known)
+}
+
 // StoreMark stores a mark at its home.
 func (p *Peers) StoreMark(
 	ctx context.Context, home marks.Target, key marks.Key, mark model.Mark,
