Look at pooled connections without allocating, once per use

Each use looked at the socket on release and on lending, with three allocations each. One look on lending is enough, also where a waiter takes the connection over. Allocations per statement, client and upstream included: read 20 -> 14, write 29 -> 23 (go test -run xxx -bench 'Throughput/.*/path' -benchtime 200000x ./pkg/transport/pgfront). The times of these runs vary more than the change, with other load on the machine.

--- a/pkg/transport/pgback/conn.go
+++ b/pkg/transport/pgback/conn.go
@@ -28,6 +28,7 @@
 	pid        uint32
 	secret     []byte
 	address    string
+	probe      *probe
 	statements *statements
 	pool       *pool
 	origin     origin
@@ -86,16 +87,17 @@
 	if reuse == ReuseAfterReset {
 		reuse = c.reset()
 	}
-	if reuse != ReuseClean || !c.isQuiet() {
+	if reuse != ReuseClean || c.hasLeftover() {
 		c.pool.discard(c)
 		return
 	}
 	c.pool.put(c)
 }
 
-// isQuiet reports whether nothing is left in the buffers or on the wire.
-func (c *conn) isQuiet() bool {
-	return len(c.output) == 0 && c.frontend.ReadBufferLen() == 0 && !hasInput(c.net)
+// hasLeftover reports whether something is left in the buffers. The wire is
+// looked at before the next use.
+func (c *conn) hasLeftover() bool {
+	return len(c.output) > 0 || c.frontend.ReadBufferLen() > 0
 }
 
 // reset brings the session back to its defaults.
--- a/pkg/transport/pgback/dial.go
+++ b/pkg/transport/pgback/dial.go
@@ -86,6 +86,7 @@
 		pid:        hijacked.PID,
 		secret:     hijacked.SecretKey,
 		address:    upstream.Address,
+		probe:      newProbe(hijacked.Conn),
 		statements: newStatements(d.statements),
 	}
 }
--- a/pkg/transport/pgback/input.go
+++ b/pkg/transport/pgback/input.go
@@ -5,24 +5,46 @@
 	"syscall"
 )
 
-// hasInput reports whether connection has something to read: bytes that no
-// request asked for, or its end. It does not wait and reads nothing. A
-// connection that can't be looked at is taken as quiet.
-func hasInput(connection net.Conn) bool {
+// probe looks whether a connection has something to read. It is not safe for
+// concurrent use.
+type probe struct {
+	raw syscall.RawConn
+	// look is bound once, so that a look allocates nothing.
+	look  func(descriptor uintptr)
+	found bool
+}
+
+// newProbe returns the probe of connection. One that can't be looked at is
+// taken as quiet.
+func newProbe(connection net.Conn) *probe {
+	p := &probe{}
+	p.look = p.peek
 	system, ok := connection.(syscall.Conn)
 	if !ok {
-		return false
+		return p
 	}
 	raw, err := system.SyscallConn()
-	if err != nil {
-		return true
+	if err == nil {
+		p.raw = raw
+	}
+	return p
+}
+
+// hasInput reports whether the connection has something to read: bytes that no
+// request asked for, or its end. It does not wait and reads nothing.
+func (p *probe) hasInput() bool {
+	if p.raw == nil {
+		return false
 	}
-	found := true
 	// Control, other than Read, does not fail for a deadline of the last use.
-	err = raw.Control(func(descriptor uintptr) {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = peekErr != syscall.EAGAIN
-	})
-	return err != nil || found
+	if err := p.raw.Control(p.look); err != nil {
+		return true
+	}
+	return p.found
+}
+
+func (p *probe) peek(descriptor uintptr) {
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	p.found = err != syscall.EAGAIN
 }
--- a/pkg/transport/pgback/pool.go
+++ b/pkg/transport/pgback/pool.go
@@ -74,7 +74,7 @@
 		c := p.idle[last]
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
-		if c.origin.matches(want) && !hasInput(c.net) {
+		if c.serves(want) {
 			return c
 		}
 		p.closeLocked(c)
@@ -82,6 +82,11 @@
 	return nil
 }
 
+// serves reports whether c can be lent for want.
+func (c *conn) serves(want origin) bool {
+	return c.origin.matches(want) && !c.probe.hasInput()
+}
+
 // openConn opens a connection whose place in open is already taken.
 func (p *pool) openConn(ctx context.Context, want origin, deadline time.Time) (*conn, *verdict.Error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -195,7 +200,7 @@
 		p.idle = append(p.idle, c)
 		return
 	}
-	if !c.origin.matches(p.waiters[0].want) {
+	if !c.serves(p.waiters[0].want) {
 		p.closeLocked(c)
 		return
 	}
