Allocate less per statement

A context for each wait, the unit of work with its list of answers, a copy of the query message and the folding of words in capitals were allocated anew for each statement. They are now kept per session, taken from pools, or not needed. The shared parent of the contexts, whose lock every statement took twice, is out of the path.

--- a/pkg/protocol/pgwire/classify.go
+++ b/pkg/protocol/pgwire/classify.go
@@ -4,7 +4,8 @@
 
 // Class is what is known of the text of a query.
 type Class struct {
-	// Keyword is the first keyword in lower case; empty for an empty query.
+	// Keyword is the first keyword, in lower case where the classifier knows it;
+	// empty for an empty query.
 	Keyword string
 	// ReadOnly is true when the text is known to write nothing.
 	ReadOnly bool
@@ -92,7 +93,7 @@
 	}
 	switch {
 	case t.kind == tokenWord:
-		c.addWord(strings.ToLower(t.text))
+		c.addWord(fold(t.text))
 	case t.kind == tokenPunct && t.text == "(":
 		c.addParenthesis()
 	}
@@ -102,9 +103,9 @@
 
 func (c *classifier) startStatement(t token) {
 	c.statements++
-	c.first = strings.ToLower(t.text)
-	if t.kind != tokenWord {
-		c.first = t.text
+	c.first = t.text
+	if t.kind == tokenWord {
+		c.first = fold(t.text)
 	}
 	if c.statements == 1 {
 		c.class.Keyword = c.first
@@ -179,7 +180,7 @@
 		return
 	}
 	isQualified := c.beforeThat.kind == tokenPunct && c.beforeThat.text == "."
-	if isQualified || !pureFunctions.has(strings.ToLower(c.previous.text)) {
+	if isQualified || !pureFunctions.has(fold(c.previous.text)) {
 		c.callsOther = true
 	}
 }
--- a/pkg/protocol/pgwire/functions.go
+++ b/pkg/protocol/pgwire/functions.go
@@ -30,6 +30,50 @@
 	"set", "reset", "listen", "unlisten", "prepare", "deallocate", "discard", "declare", "load", "do", "call",
 )
 
+// otherWords are further words that the classifier knows.
+var otherWords = newWordSet(
+	"abort", "begin", "commit", "committed", "constraints", "deferrable", "end", "isolation", "level", "local",
+	"only", "prepared", "read", "repeatable", "rollback", "serializable", "show", "start",
+	"temp", "temporary", "transaction", "uncommitted", "work", "write",
+)
+
+// folded maps each known word to itself.
+var folded = newFolded(pureFunctions, writingWords, sessionKeywords, otherWords)
+
+func newFolded(sets ...wordSet) map[string]string {
+	all := make(map[string]string)
+	for _, set := range sets {
+		for word := range set {
+			all[word] = word
+		}
+	}
+	return all
+}
+
+// maxKnownWord is the length of the longest known word or more, in bytes.
+const maxKnownWord = 32
+
+// fold returns a known word in lower case, without allocating. Other words are
+// returned as they are.
+func fold(word string) string {
+	if len(word) > maxKnownWord {
+		return word
+	}
+	var buffer [maxKnownWord]byte
+	for i := range len(word) {
+		c := word[i]
+		if c >= 'A' && c <= 'Z' {
+			c |= lowerCaseBit
+		}
+		buffer[i] = c
+	}
+	known, found := folded[string(buffer[:len(word)])]
+	if !found {
+		return word
+	}
+	return known
+}
+
 type wordSet map[string]struct{}
 
 func newWordSet(words ...string) wordSet {
--- a/pkg/transport/pgfront/cancel.go
+++ b/pkg/transport/pgfront/cancel.go
@@ -19,31 +19,48 @@
 type running struct {
 	mu      sync.Mutex
 	backend pgback.Backend
-	// stopWait ends the wait for a ticket and a connection.
-	stopWait context.CancelFunc
+	// waiting is true while the statement waits for a ticket and a connection.
+	waiting bool
+	// ctx is the parent of waits; stop ends it. Both serve until a cancel
+	// request has used them up.
+	ctx  context.Context
+	stop context.CancelFunc
 	// cancelled is true when a wait was ended by a cancel request.
 	cancelled bool
 	// unsure is true when a cancel request may still arrive.
 	unsure bool
 }
 
-// wait begins the wait for a ticket and a connection.
-func (r *running) wait(stop context.CancelFunc) {
+// wait begins the wait for a ticket and a connection. The context ends with
+// base or by a cancel request.
+func (r *running) wait(base context.Context) context.Context {
 	r.mu.Lock()
-	r.stopWait = stop
+	defer r.mu.Unlock()
+	if r.ctx == nil || r.cancelled {
+		r.ctx, r.stop = context.WithCancel(base)
+	}
+	r.waiting = true
 	r.cancelled = false
-	r.mu.Unlock()
+	return r.ctx
 }
 
 // endWait ends the wait and reports whether a cancel request came meanwhile.
 func (r *running) endWait() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stopWait()
-	r.stopWait = nil
+	r.waiting = false
 	return r.cancelled
 }
 
+// release frees the context of waits.
+func (r *running) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stop != nil {
+		r.stop()
+	}
+}
+
 func (r *running) set(backend pgback.Backend) {
 	r.mu.Lock()
 	r.backend = backend
@@ -66,9 +83,9 @@
 func (r *running) cancel(ctx context.Context) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopWait != nil {
+	if r.waiting {
 		r.cancelled = true
-		r.stopWait()
+		r.stop()
 		return true
 	}
 	if r.backend == nil {
--- a/pkg/transport/pgfront/complete.go
+++ b/pkg/transport/pgfront/complete.go
@@ -53,6 +53,7 @@
 	if u.backend != nil {
 		u.backend.Release(reuse)
 	}
+	u.release()
 }
 
 // settlePosition makes sure that the log position is known where something is
--- a/pkg/transport/pgfront/exchange.go
+++ b/pkg/transport/pgfront/exchange.go
@@ -5,7 +5,6 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/verdict"
 )
 
@@ -196,7 +195,8 @@
 
 func (c *composer) sendRun() {
 	if c.runStart < c.runEnd {
-		c.unit.backend.Send(pgwire.Encoded(c.batch.buffer[c.runStart:c.runEnd]))
+		c.unit.passage = c.batch.buffer[c.runStart:c.runEnd]
+		c.unit.backend.Send(&c.unit.passage)
 	}
 	c.runStart = c.runEnd
 }
--- a/pkg/transport/pgfront/session.go
+++ b/pkg/transport/pgfront/session.go
@@ -169,7 +169,7 @@
 	switch message := message.(type) {
 	case *pgproto3.Query:
 		if !s.skipping {
-			s.simple(message.String)
+			s.simple(message)
 		}
 	case *pgproto3.FunctionCall:
 		if !s.skipping {
@@ -205,6 +205,7 @@
 
 // leave gives back what the session holds.
 func (s *session) leave() {
+	s.running.release()
 	if s.batch != nil {
 		s.batch.release()
 		s.batch = nil
--- a/pkg/transport/pgfront/simple.go
+++ b/pkg/transport/pgfront/simple.go
@@ -14,11 +14,11 @@
 const refusedQuery = "refused"
 
 // simple carries out a Query message.
-func (s *session) simple(text string) {
+func (s *session) simple(message *pgproto3.Query) {
 	s.server.counters.requests.Add(1)
 	s.dropBatch()
 	s.unnamed = nil
-	class := pgwire.Classify(text)
+	class := pgwire.Classify(message.String)
 	switch {
 	case class.Empty():
 		s.answerLocally(&pgproto3.EmptyQueryResponse{})
@@ -27,13 +27,13 @@
 	case class.Unsupported != "":
 		s.refuseQuery(unsupported(class.Unsupported))
 	case class.Begins && s.unit == nil && s.begin == nil:
-		s.begin = &pendingBegin{text: text, readOnly: class.ReadOnly, tags: class.Tags, arrived: time.Now()}
+		s.begin = &pendingBegin{text: message.String, readOnly: class.ReadOnly, tags: class.Tags, arrived: time.Now()}
 		s.answerLocally(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
 	case s.begin != nil && class.PlainEnd:
 		s.begin = nil
 		s.answerLocally(endTag(class.Commits))
 	default:
-		s.runQuery(text, &class)
+		s.runQuery(message, &class)
 	}
 }
 
@@ -105,11 +105,11 @@
 		"the transaction is aborted, commands are ignored until its end")
 }
 
-func (s *session) runQuery(text string, class *pgwire.Class) {
+func (s *session) runQuery(message *pgproto3.Query, class *pgwire.Class) {
 	b := newBatch()
 	b.complete = true
 	b.note(class)
-	s.mustAdd(b, entry{kind: entryQuery}, &pgproto3.Query{String: text})
+	s.mustAdd(b, entry{kind: entryQuery}, message)
 	s.runBatch(b)
 }
 
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/pgback"
 	"gypsumdock/pkg/verdict"
@@ -38,9 +40,30 @@
 	unnamed *statement
 	// latency is the time spent on the upstream so far.
 	latency time.Duration
+	// passage is what is sent of the batch's buffer next.
+	passage pgwire.Encoded
 	x       exchange
 }
 
+var units = sync.Pool{New: func() any { return &unit{} }}
+
+func newUnit(ticket *traffic.Ticket, backend pgback.Backend) *unit {
+	u := units.Get().(*unit)
+	u.ticket = ticket
+	u.backend = backend
+	u.status = statusIdle
+	u.readOnly = ticket.Statement.ReadOnly || ticket.Route.ReadOnly
+	return u
+}
+
+// release gives the unit back; it must not be used afterwards.
+func (u *unit) release() {
+	u.x.reset()
+	kept := u.x
+	*u = unit{x: kept}
+	units.Put(u)
+}
+
 // writes reports whether the unit's commit needs the engine's consent.
 func (u *unit) writes() bool { return u.ticket.Primary && !u.readOnly }
 
@@ -54,10 +77,8 @@
 // openUnit asks for a ticket and a connection for b. s.unit is set when it
 // succeeds.
 func (s *session) openUnit(b *batch, attempt int) *failure {
-	ctx, end := s.startSpan(b)
+	ctx, end := s.startSpan(s.running.wait(s.context()), b)
 	defer end()
-	ctx, stop := context.WithCancel(ctx)
-	s.running.wait(stop)
 	failed := s.admit(ctx, b, attempt)
 	if s.running.endWait() {
 		return &failure{Error: cancelledError(), final: true}
@@ -97,18 +118,12 @@
 		s.server.config.Engine.Done(ticket, traffic.Result{Outcome: verdict.NotRun, Broken: isLost(refused)})
 		return &failure{Error: refused, final: !isLost(refused)}
 	}
-	s.unit = &unit{
-		ticket:   ticket,
-		backend:  backend,
-		status:   statusIdle,
-		readOnly: ticket.Statement.ReadOnly || ticket.Route.ReadOnly,
-	}
+	s.unit = newUnit(ticket, backend)
 	return nil
 }
 
-func (s *session) startSpan(b *batch) (context.Context, func()) {
+func (s *session) startSpan(ctx context.Context, b *batch) (context.Context, func()) {
 	tracer := s.server.config.Tracer
-	ctx := s.context()
 	if b.tags.Traceparent != "" {
 		ctx = tracer.Join(ctx, b.tags.Traceparent)
 	}
@@ -173,6 +188,7 @@
 		dropBackend(u.backend, u.x.isOpen() && !broken)
 	}
 	s.server.config.Engine.Done(u.ticket, traffic.Result{Outcome: outcome, Broken: broken, Latency: u.latency})
+	u.release()
 }
 
 func dropBackend(backend pgback.Backend, isRunning bool) {
@@ -243,7 +259,22 @@
 	}
 }
 
+// Sizes up to which the buffers of an exchange are kept.
+const (
+	keepPending = 32 // answers
+	keepHeld    = 4 << 10
+)
+
 // reset makes the exchange ready for the next request.
 func (x *exchange) reset() {
-	*x = exchange{pending: x.pending[:0]}
+	pending := x.pending[:cap(x.pending)]
+	if len(pending) > keepPending {
+		pending = nil
+	}
+	clear(pending)
+	held := x.held
+	if cap(held) > keepHeld {
+		held = nil
+	}
+	*x = exchange{pending: pending[:0], held: held[:0]}
 }
