--- a/testbench/upstreamd/sql/ast.go
+++ b/testbench/upstreamd/sql/ast.go
@@ -154,5 +154,5 @@
 func (Cast) isExpr()    {}
 
 // ViewWALReceiver is PostgreSQL's view of the connection to the primary. It
-// has one row here; its fields are null where there is no connection.
+// has one row on a replica that streams, and none otherwise.
 const ViewWALReceiver = "pg_stat_wal_receiver"
