Put the span of each hop below the caller's, and answer DEALLOCATE

The upstream's and the acknowledgement's spans began at the session and not below the caller's trace. DEALLOCATE of a statement prepared by message failed, because upstreams know it by another name; it is now answered by the proxy.

--- a/pkg/protocol/pgwire/classify.go
+++ b/pkg/protocol/pgwire/classify.go
@@ -29,6 +29,9 @@
 	// ChangesMode is true when the text may turn a read-only transaction into
 	// one that writes.
 	ChangesMode bool
+	// Deallocates is the statement that a single DEALLOCATE names; empty for
+	// other texts and for DEALLOCATE ALL.
+	Deallocates string
 	// Unsupported names a feature that the proxy refuses; empty when none.
 	Unsupported string
 	// Tags are the sqlcommenter keys.
@@ -85,6 +88,7 @@
 func (c *classifier) add(t token) {
 	if t.kind == tokenPunct && t.text == ";" {
 		c.first = ""
+		c.beforeThat = c.previous
 		c.previous = t
 		return
 	}
@@ -215,9 +219,27 @@
 		c.finishSet(class)
 	case "commit", "end", "rollback", "abort":
 		class.PlainEnd = isPlainEnd(c.words)
+	case "deallocate":
+		class.Deallocates = c.lastName()
 	}
 }
 
+// lastName returns the name that ends the statement, unless it is ALL.
+func (c *classifier) lastName() string {
+	last := c.previous
+	if last.kind == tokenPunct && last.text == ";" {
+		last = c.beforeThat
+	}
+	switch {
+	case last.kind == tokenQuoted:
+		name := strings.TrimSuffix(strings.TrimPrefix(last.text, "\""), "\"")
+		return strings.ReplaceAll(name, "\"\"", "\"")
+	case last.kind == tokenWord && fold(last.text) != "all":
+		return strings.ToLower(last.text)
+	}
+	return ""
+}
+
 func isPlainEnd(words []string) bool {
 	if len(words) == 2 {
 		return words[1] == "work" || words[1] == "transaction"
--- a/pkg/protocol/pgwire/pgwire_test.go
+++ b/pkg/protocol/pgwire/pgwire_test.go
@@ -87,6 +87,13 @@
 		Expect(pgwire.Classify("select 1; commit").Commits).To(BeTrue())
 	})
 
+	It("knows the name that a DEALLOCATE gives", func() {
+		Expect(pgwire.Classify(`deallocate prepare "a""B" ;`).Deallocates).To(Equal(`a"B`))
+		Expect(pgwire.Classify("DEALLOCATE S_1").Deallocates).To(Equal("s_1"))
+		Expect(pgwire.Classify("deallocate ALL").Deallocates).To(BeEmpty())
+		Expect(pgwire.Classify("deallocate a; deallocate b").Deallocates).To(BeEmpty())
+	})
+
 	It("names what is not served", func() {
 		Expect(pgwire.Classify("copy t from stdin").Unsupported).To(Equal("COPY"))
 		Expect(pgwire.Classify("select 1; copy t to stdout").Unsupported).To(Equal("COPY"))
--- a/pkg/transport/pgfront/cancel.go
+++ b/pkg/transport/pgfront/cancel.go
@@ -31,19 +31,25 @@
 	unsure bool
 }
 
-// wait begins the wait for a ticket and a connection. The context ends with
-// base or by a cancel request.
-func (r *running) wait(base context.Context) context.Context {
+// context returns the parent of the next request's work. It ends with base, or
+// when a cancel request ends the wait for a ticket or a connection.
+func (r *running) context(base context.Context) context.Context {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ctx == nil || r.cancelled {
 		r.ctx, r.stop = context.WithCancel(base)
 	}
-	r.waiting = true
 	r.cancelled = false
 	return r.ctx
 }
 
+// wait begins the wait for a ticket and a connection.
+func (r *running) wait() {
+	r.mu.Lock()
+	r.waiting = true
+	r.mu.Unlock()
+}
+
 // endWait ends the wait and reports whether a cancel request came meanwhile.
 func (r *running) endWait() bool {
 	r.mu.Lock()
--- a/pkg/transport/pgfront/complete.go
+++ b/pkg/transport/pgfront/complete.go
@@ -97,7 +97,7 @@
 	if len(u.x.held) == 0 {
 		return
 	}
-	ctx, endSpan := s.server.config.Tracer.Start(s.context(), "caller.acknowledge")
+	ctx, endSpan := s.startHop("acknowledge")
 	defer endSpan()
 	ctx, stop := context.WithDeadline(ctx, u.ticket.Deadline)
 	defer stop()
--- a/pkg/transport/pgfront/exchange.go
+++ b/pkg/transport/pgfront/exchange.go
@@ -22,7 +22,7 @@
 	if refused := s.server.config.Engine.MaySend(u.ticket); refused != nil {
 		return &failure{Error: refused, final: u.ticket.Sent}
 	}
-	_, end := s.server.config.Tracer.Start(s.context(), "upstream.exchange")
+	_, end := s.startHop("upstream")
 	defer end()
 	start := time.Now()
 	defer func() { u.latency += time.Since(start) }()
--- a/pkg/transport/pgfront/extended_test.go
+++ b/pkg/transport/pgfront/extended_test.go
@@ -176,6 +176,14 @@
 		Expect(other.exchange(1, bind("s"), execute, syncAll)).To(ContainElement("SELECT 1"))
 	})
 
+	It("drops a caller's statement by DEALLOCATE", func() {
+		Expect(w.exchange(1, parse("s", "select a"), syncAll)).To(HaveLen(2))
+		Expect(w.exchange(1, query("deallocate s"))).To(Equal([]string{"DEALLOCATE", "ready I"}))
+		Expect(w.exchange(1, parse("s", "select b"), syncAll)).To(Equal([]string{"parsed", "ready I"}))
+		Expect(w.exchange(1, query("deallocate all"))).To(HaveLen(2))
+		Expect(w.exchange(1, bind("s"), syncAll)).To(Equal([]string{"error 26000", "ready I"}))
+	})
+
 	It("reports a prepared name that is taken", func() {
 		Expect(w.exchange(1, parse("s", "select a"), syncAll)).To(HaveLen(2))
 		Expect(w.exchange(1, parse("s", "select b"), syncAll)).To(Equal([]string{"error 42P05", "ready I"}))
--- a/pkg/transport/pgfront/query_test.go
+++ b/pkg/transport/pgfront/query_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/transport/pgfront"
 )
 
 func queryText(conn *pgx.Conn, sql string, args ...any) (string, error) {
@@ -123,3 +126,39 @@
 		Expect(queryText(conn, "select $1", "on")).To(Equal("on"))
 	})
 })
+
+// recorder notes the names of spans, each with that of its parent.
+type recorder struct {
+	mu    sync.Mutex
+	names []string
+}
+
+type spanKey struct{}
+
+func (r *recorder) Join(ctx context.Context, traceparent string) context.Context {
+	return context.WithValue(ctx, spanKey{}, traceparent)
+}
+
+func (r *recorder) Start(ctx context.Context, name string) (context.Context, func()) {
+	parent, _ := ctx.Value(spanKey{}).(string)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = append(r.names, parent+" > "+name)
+	return context.WithValue(ctx, spanKey{}, name), func() {}
+}
+
+var _ = Describe("tracing", func() {
+	It("has a span for each hop below the caller's own", func() {
+		spans := &recorder{}
+		b := newBench(1, func(c *pgfront.Config) { c.Tracer = spans })
+		conn := b.connect(simpleProtocol)
+		_, err := conn.Exec(context.Background(), "insert a /*traceparent='00-1-2-01'*/")
+		Expect(err).NotTo(HaveOccurred())
+		spans.mu.Lock()
+		defer spans.mu.Unlock()
+		Expect(spans.names).To(Equal([]string{
+			"00-1-2-01 > caller", "caller > admission", "caller > upstream.acquire", "caller > upstream",
+			"caller > acknowledge",
+		}))
+	})
+})
--- a/pkg/transport/pgfront/run.go
+++ b/pkg/transport/pgfront/run.go
@@ -18,6 +18,7 @@
 	if s.runLocally(b) {
 		return
 	}
+	defer s.startSpan(b)()
 	if failed := s.try(b); failed != nil {
 		s.giveUp(b, failed.Error)
 		return
--- a/pkg/transport/pgfront/session.go
+++ b/pkg/transport/pgfront/session.go
@@ -48,6 +48,8 @@
 	// skipping is true after an error until the next Sync.
 	skipping bool
 
+	// span is the context of the request in progress.
+	span context.Context
 	// unit is the unit of work in progress; nil when none is.
 	unit *unit
 	// begin is a BEGIN that was answered and is sent with the next statement.
--- a/pkg/transport/pgfront/simple.go
+++ b/pkg/transport/pgfront/simple.go
@@ -26,6 +26,8 @@
 		s.simpleInFailed(&class)
 	case class.Unsupported != "":
 		s.refuseQuery(unsupported(class.Unsupported))
+	case s.deallocates(&class):
+		s.answerLocally(&pgproto3.CommandComplete{CommandTag: []byte("DEALLOCATE")})
 	case class.Begins && s.unit == nil && s.begin == nil:
 		s.begin = &pendingBegin{text: message.String, readOnly: class.ReadOnly, tags: class.Tags, arrived: time.Now()}
 		s.answerLocally(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
@@ -37,6 +39,17 @@
 	}
 }
 
+// deallocates drops the prepared statement that a DEALLOCATE names, and reports
+// whether there was one. Upstreams know it by another name.
+func (s *session) deallocates(class *pgwire.Class) bool {
+	name := class.Deallocates
+	if name == "" || s.statements[name] == nil || s.status() == statusFailed {
+		return false
+	}
+	delete(s.statements, name)
+	return true
+}
+
 func endTag(commits bool) *pgproto3.CommandComplete {
 	if commits {
 		return &pgproto3.CommandComplete{CommandTag: []byte("COMMIT")}
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -77,9 +77,8 @@
 // openUnit asks for a ticket and a connection for b. s.unit is set when it
 // succeeds.
 func (s *session) openUnit(b *batch, attempt int) *failure {
-	ctx, end := s.startSpan(s.running.wait(s.context()), b)
-	defer end()
-	failed := s.admit(ctx, b, attempt)
+	s.running.wait()
+	failed := s.admit(b, attempt)
 	if s.running.endWait() {
 		return &failure{Error: cancelledError(), final: true}
 	}
@@ -106,14 +105,16 @@
 	return time.Since(b.arrived) >= longWait && hasEnded(s.conn)
 }
 
-func (s *session) admit(ctx context.Context, b *batch, attempt int) *failure {
+func (s *session) admit(b *batch, attempt int) *failure {
+	ctx, end := s.startHop("admission")
 	ticket, refused := s.server.config.Engine.Admit(ctx, s.describe(b, attempt))
+	end()
 	if refused != nil {
 		return &failure{Error: refused, final: true}
 	}
-	ctx, endAcquire := s.server.config.Tracer.Start(ctx, "upstream.acquire")
-	defer endAcquire()
+	ctx, end = s.startHop("upstream.acquire")
 	backend, refused := s.server.config.Backends.Acquire(ctx, ticket)
+	end()
 	if refused != nil {
 		s.server.config.Engine.Done(ticket, traffic.Result{Outcome: verdict.NotRun, Broken: isLost(refused)})
 		return &failure{Error: refused, final: !isLost(refused)}
@@ -122,12 +123,20 @@
 	return nil
 }
 
-func (s *session) startSpan(ctx context.Context, b *batch) (context.Context, func()) {
+// startSpan starts the span of a request, under which its hops stand.
+func (s *session) startSpan(b *batch) (end func()) {
 	tracer := s.server.config.Tracer
+	ctx := s.running.context(s.context())
 	if b.tags.Traceparent != "" {
 		ctx = tracer.Join(ctx, b.tags.Traceparent)
 	}
-	return tracer.Start(ctx, "caller.admit")
+	s.span, end = tracer.Start(ctx, "caller")
+	return end
+}
+
+// startHop starts the span of a part of the request.
+func (s *session) startHop(name string) (context.Context, func()) {
+	return s.server.config.Tracer.Start(s.span, name)
 }
 
 // describe returns what the engine is told of the unit that starts with b.
--- a/pkg/transport/pgfront/upstream_test.go
+++ b/pkg/transport/pgfront/upstream_test.go
@@ -361,6 +361,9 @@
 		}
 	case "set":
 		c.setting = query
+	case "deallocate":
+		tag = "DEALLOCATE ALL"
+		clear(c.prepared)
 	case "discard":
 		tag = "DISCARD ALL"
 		c.setting = ""
