--- a/testbench/cluster/instance.go
+++ b/testbench/cluster/instance.go
@@ -34,14 +34,15 @@
 }
 
 // StartInstance adds an instance in a data centre, with addresses of its own.
-func (c *Cluster) StartInstance(ctx context.Context, dataCentre string) (*Instance, error) {
+// extra are further settings of this instance, as in Tuning.
+func (c *Cluster) StartInstance(ctx context.Context, dataCentre string, extra ...string) (*Instance, error) {
 	c.started++
 	i := &Instance{ID: fmt.Sprintf("instance-%d", c.started), DataCentre: dataCentre}
 	if err := c.place(i); err != nil {
 		return nil, err
 	}
 	i.settings = filepath.Join(c.dir, i.ID+".toml")
-	text, err := c.settingsOf(i)
+	text, err := c.settingsOf(i, extra)
 	if err != nil {
 		return nil, err
 	}
--- a/testbench/promises/deposed_test.go
+++ b/testbench/promises/deposed_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gypsumdock/testbench/cluster"
 	"gypsumdock/testbench/faultproxy"
+	"gypsumdock/testbench/history"
 	"gypsumdock/testbench/upstreamd"
+	"gypsumdock/testbench/workload"
 )
 
 var _ = Describe("no write is acknowledged by a primary that was replaced", func() {
@@ -43,6 +47,34 @@
 		w.check(ctx, running)
 	})
 
+	It("when an instance was paused, goes on, and reaches only the old primary", func(ctx context.Context) {
+		w := start(ctx, quick())
+		apart := w.Instances[0]
+		running := w.run(ctx, func(o *workload.Options) {
+			o.Sessions = 12
+			o.Policy.Deadline = 2 * time.Second
+		})
+		running.SetTargets(w.Instances)
+		awaitWrites(running)
+		old := w.group().Upstreams[0].ID
+		Expect(apart.Freeze()).To(Succeed())
+		apart.ToPlatform.Reset()
+		apart.ToMesh.Reset()
+		for _, instance := range w.Instances {
+			instance.ToMesh.Drop()
+		}
+		w.ToUpstream(old).Silence(faultproxy.ToClient)
+		w.ToUpstream(old).Silence(faultproxy.ToServer)
+		w.awaitPrimary(ctx, old)
+		for _, instance := range w.Instances {
+			instance.ToMesh.Reset()
+		}
+		w.ToUpstream(old).Heal()
+		running.SetTargets([]*cluster.Instance{apart})
+		Expect(apart.Thaw()).To(Succeed())
+		Consistently(func() []history.Violation { return w.violations(ctx, running) }, "3s").Should(BeEmpty())
+	})
+
 	It("when an instance was paused past its permit and goes on", func(ctx context.Context) {
 		w := start(ctx, quick())
 		running := w.run(ctx, nil)
