--- /dev/null
+++ b/pkg/state/grants/machine.go
@@ -0,0 +1,269 @@
+package grants
+
+import (
+	"slices"
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// Config configures a machine.
+type Config struct {
+	Self model.InstanceID
+	// Lifetime and Drift are those of the lease that a confirmation of the
+	// members gives.
+	Lifetime time.Duration
+	Drift    time.Duration
+	// IdleTime is how long a grant stays unused before it is given back.
+	IdleTime time.Duration
+	// WriteInterval is the least time between two writes of one row.
+	WriteInterval time.Duration
+	// ReadInterval is the time between two reads of a row in use.
+	ReadInterval time.Duration
+	// OwedInterval is the time between two reads while others have to shrink
+	// for this instance.
+	OwedInterval time.Duration
+	// Spare is the number of connections held beyond those in use.
+	Spare int
+	Rules Rules
+}
+
+// Rules switches single rules off, for tests. The zero value has all on.
+type Rules struct {
+	// NoLease opens connections also when the lease ran out.
+	NoLease bool
+	// NoLapse takes a removed member's grant without waiting for its lease.
+	NoLapse bool
+	// NoCount takes a removed member's grant without asking the upstream.
+	NoCount bool
+	// NoRenewal uses a grant again after a lapse without writing the entry.
+	NoRenewal bool
+	// GrowFirst counts a write as applied before it is answered.
+	GrowFirst bool
+}
+
+// DefaultConfig returns the configuration in use.
+func DefaultConfig(self model.InstanceID) Config {
+	return Config{
+		Self:          self,
+		Lifetime:      3 * time.Second,
+		Drift:         100 * time.Millisecond,
+		IdleTime:      30 * time.Second,
+		WriteInterval: 200 * time.Millisecond,
+		ReadInterval:  30 * time.Second,
+		OwedInterval:  time.Second,
+		Spare:         1,
+	}
+}
+
+// Machine holds the grants of one instance.
+type Machine struct {
+	config Config
+	// members is the newest version confirmed.
+	version     uint64
+	members     []model.InstanceID
+	confirmedAt time.Duration
+	confirmed   bool
+	// since is the version under which the present lease began.
+	since uint64
+	// removed holds the instances that are named in a row and are no members.
+	removed map[model.InstanceID]removal
+	// upstreams is ordered by ID.
+	upstreams []*upstream
+	nextOp    uint64
+}
+
+// removal is when an instance was first seen to be no member, and under which
+// version.
+type removal struct {
+	at      time.Duration
+	version uint64
+}
+
+// upstream is the state of one upstream's row.
+type upstream struct {
+	spec    Spec
+	known   bool
+	version model.RowVersion
+	row     *Row
+	// reading is true while a read is pending; readAt is when the last one
+	// was asked for or answered.
+	reading bool
+	readAt  time.Duration
+	// pending is the write whose outcome is awaited or, if unsettled, unknown.
+	pending   *WriteRow
+	unsettled bool
+	wrote     bool
+	wroteAt   time.Duration
+	used      Used
+	// neededAt is when the whole grant was last needed.
+	neededAt time.Duration
+	// countedAt is when a count was last asked for.
+	counted   bool
+	countedAt time.Duration
+	hinted    bool
+}
+
+// New returns a machine that holds nothing.
+func New(config Config) *Machine {
+	return &Machine{config: config, removed: make(map[model.InstanceID]removal)}
+}
+
+// Handle takes an event and returns what has to be done.
+func (m *Machine) Handle(now time.Duration, event Event) []Action {
+	switch e := event.(type) {
+	case Confirmed:
+		m.confirm(now, e)
+	case UpstreamsAdopted:
+		m.adopt(e.Upstreams)
+	case RowRead:
+		m.rowRead(now, e)
+	case RowWritten:
+		m.rowWritten(e)
+	case Used:
+		return m.withUpstream(now, e.Upstream, func(u *upstream) { u.used = e })
+	case Hinted:
+		return m.withUpstream(now, e.Upstream, func(u *upstream) { u.hinted = true })
+	case Counted:
+		return m.counted(now, e)
+	}
+	var actions []Action
+	for _, u := range m.upstreams {
+		actions = append(actions, m.plan(now, u)...)
+	}
+	return actions
+}
+
+func (m *Machine) withUpstream(now time.Duration, id model.UpstreamID, change func(*upstream)) []Action {
+	u := m.upstream(id)
+	if u == nil {
+		return nil
+	}
+	change(u)
+	return m.plan(now, u)
+}
+
+func (m *Machine) upstream(id model.UpstreamID) *upstream {
+	for _, u := range m.upstreams {
+		if u.spec.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// adopt keeps the rows of upstreams that stay in the configuration.
+func (m *Machine) adopt(specs []Spec) {
+	var next []*upstream
+	for _, spec := range specs {
+		u := m.upstream(spec.ID)
+		if u == nil {
+			u = &upstream{}
+		}
+		u.spec = spec
+		next = append(next, u)
+	}
+	m.upstreams = next
+}
+
+// confirm renews the lease. A lease that had run out, or a version that was
+// missed, begins a new one.
+func (m *Machine) confirm(now time.Duration, e Confirmed) {
+	if m.confirmed && e.Version < m.version {
+		return
+	}
+	lasted := m.leased(now) && e.Version <= m.version+1
+	m.version, m.members = e.Version, e.Members
+	m.noteRemoved(now)
+	if !slices.Contains(e.Members, m.config.Self) {
+		m.confirmed = false
+		return
+	}
+	if !lasted {
+		m.since = e.Version
+		m.confirmedAt = e.AskedAt
+	}
+	m.confirmed = true
+	m.confirmedAt = max(m.confirmedAt, e.AskedAt)
+}
+
+// noteRemoved notes the holders that are no members, for later take-over.
+func (m *Machine) noteRemoved(now time.Duration) {
+	for _, id := range m.members {
+		delete(m.removed, id)
+	}
+	for _, u := range m.upstreams {
+		m.noteMissing(now, u.row)
+	}
+}
+
+// noteMissing notes the holders named in a row that are no members. One that
+// took up its entry under a version newer than the removal counts as removed
+// only from now on.
+func (m *Machine) noteMissing(now time.Duration, row *Row) {
+	if row == nil || m.version == 0 {
+		return
+	}
+	for _, e := range row.Entries {
+		if slices.Contains(m.members, e.Instance) || e.Since > m.version {
+			continue
+		}
+		known, found := m.removed[e.Instance]
+		if !found || e.Since > known.version {
+			m.removed[e.Instance] = removal{at: now, version: m.version}
+		}
+	}
+}
+
+// leased reports whether the lease lasts.
+func (m *Machine) leased(now time.Duration) bool {
+	if m.config.Rules.NoLease {
+		return m.version > 0
+	}
+	return m.confirmed && now < m.confirmedAt+m.config.Lifetime
+}
+
+// Limit returns the number of connections to the upstream that this instance
+// may have open. When the lease ran out, or the grant shrank, it may be below
+// the number that are open: none may then be opened.
+func (m *Machine) Limit(now time.Duration, id model.UpstreamID) int {
+	u := m.upstream(id)
+	if u == nil || !u.known || !m.leased(now) {
+		return 0
+	}
+	own := m.own(u, u.row)
+	if u.pending != nil {
+		own = m.smaller(own, m.own(u, u.pending.Row))
+	}
+	return own
+}
+
+// own returns what this instance may use of a row's grants.
+func (m *Machine) own(u *upstream, row *Row) int {
+	entry := row.entry(m.config.Self)
+	if entry == nil || entry.Since < m.since && !m.config.Rules.NoRenewal {
+		return 0
+	}
+	return min(entry.Grant, entry.Target, m.usable(u))
+}
+
+func (m *Machine) smaller(held, asked int) int {
+	if m.config.Rules.GrowFirst {
+		return asked
+	}
+	return min(held, asked)
+}
+
+// usable is the number of connections that can be granted.
+func (m *Machine) usable(u *upstream) int {
+	return max(u.spec.Connections-u.spec.Reserve, 0)
+}
+
+// Granted returns the sum of the grants in the upstream's row as last seen.
+func (m *Machine) Granted(id model.UpstreamID) int {
+	u := m.upstream(id)
+	if u == nil || u.row == nil {
+		return 0
+	}
+	return u.row.Sum()
+}
