--- a/pkg/state/bundle/bundle.go
+++ b/pkg/state/bundle/bundle.go
@@ -23,8 +23,14 @@
 	// Database is the database name that callers connect to.
 	Database string `json:"database"`
 	// User and Password log in to the upstreams.
-	User      string     `json:"user"`
-	Password  string     `json:"password"`
+	User     string `json:"user"`
+	Password string `json:"password"`
+	// Primary is the upstream that starts as primary when the group is new;
+	// the first of Upstreams when empty.
+	Primary model.UpstreamID `json:"primary,omitempty"`
+	// Timeline is the primary's PostgreSQL timeline when the group is new; 1
+	// when zero.
+	Timeline  uint32     `json:"timeline,omitempty"`
 	Upstreams []Upstream `json:"upstreams"`
 }
 
