Keep lost marks in the ledger until the session was told

The hand-over dropped a lost mark from the ledger as soon as one home had taken it; if that home is lost next, the session is never told. The search in pkg/state/marks shows it. The ledger now notes that the mark was taken, and drops it when the session was told, which the instance that told it sends to all members.

--- a/pkg/coordination/sessions/handover.go
+++ b/pkg/coordination/sessions/handover.go
@@ -63,7 +63,7 @@
 	if lost.Home.Home != s.config.Self {
 		s.home.Told(lost.Key, lost.Mark)
 	}
-	s.ledger.Told(lost.Key, lost.Mark)
+	s.ledger.Taken(lost)
 	return true
 }
 
--- a/pkg/coordination/sessions/peer.go
+++ b/pkg/coordination/sessions/peer.go
@@ -28,6 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.home.Told(key, mark)
+	s.ledger.Told(key, mark)
 }
 
 // TakeLost takes the mark of a lost write whose home is here.
--- a/pkg/coordination/sessions/read.go
+++ b/pkg/coordination/sessions/read.go
@@ -28,15 +28,15 @@
 }
 
 // Told says that the session has been told of the loss of its writes up to
-// mark.
+// mark. Besides the home, the ledgers of all members keep such marks.
 func (s *Service) Told(key marks.Key, mark model.Mark) {
+	s.TellMark(key, mark)
 	s.mu.Lock()
-	target, confirmed := s.view.ReadFrom(s.config.Clock.Now(), key.Session)
-	if confirmed && target.Home == s.config.Self {
-		s.home.Told(key, mark)
-	}
+	members := s.members
 	s.mu.Unlock()
-	if confirmed && target.Home != s.config.Self {
-		s.config.Peers.TellMark(target.Home, key, mark)
+	for _, member := range members {
+		if member.ID != s.config.Self {
+			s.config.Peers.TellMark(member.ID, key, mark)
+		}
 	}
 }
