--- a/testbench/upstreamd/exec_read.go
+++ b/testbench/upstreamd/exec_read.go
@@ -45,7 +45,7 @@
 	return sql.Value{}, sql.Errorf(sql.CodeUndefinedColumn, "column %q does not exist", string(name))
 }
 
-// Field returns a field of a function or view with one row.
+// Field returns a field of pg_control_checkpoint() or pg_stat_wal_receiver.
 func (r *rowEnv) Field(function, field string) (sql.Value, error) {
 	if function == sql.ViewWALReceiver {
 		return r.exec.node.receiverField(field)
@@ -139,23 +139,6 @@
 	return sql.Value{Type: sql.TypeLSN, Text: n.recoveredAt.String()}
 }
 
-// receiverField returns a field of the view of the connection to the primary.
-func (n *node) receiverField(field string) (sql.Value, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	source := n.group.sender(n)
-	switch {
-	case field != "sender_host" && field != "sender_port":
-		return sql.Value{}, sql.Errorf(sql.CodeUndefinedColumn, "column %q does not exist", field)
-	case source == nil:
-		return sql.Null(sql.TypeText), nil
-	case field == "sender_host":
-		return sql.Text(source.address.Addr().String()), nil
-	default:
-		return sql.Int4(int64(source.address.Port())), nil
-	}
-}
-
 func (e *executor) selectRows(ctx context.Context, query sql.Select) (result, error) {
 	env := &rowEnv{ctx: ctx, exec: e, from: query.From}
 	if !query.FromRecords {
@@ -199,9 +182,14 @@
 	if call, isCall := query.Items[0].Expr.(sql.Call); isCall && call.Name == "generate_series" {
 		return series(call, env)
 	}
+	if query.From != nil && query.From.Name == sql.ViewWALReceiver && !e.node.isStreaming() {
+		return result{tag: countTag("SELECT", 0), next: noRows}, nil
+	}
 	return e.project(query.Items, env, "SELECT", nil)
 }
 
+func noRows() ([]sql.Value, bool) { return nil, false }
+
 // series yields its rows one by one, so that a large result takes no memory.
 func series(call sql.Call, env *rowEnv) (result, error) {
 	if len(call.Args) != 2 {
--- a/testbench/upstreamd/node.go
+++ b/testbench/upstreamd/node.go
@@ -66,16 +66,17 @@
 	// nothing.
 	stuck, cut bool
 	down       bool
-	address    netip.AddrPort
 	// thawed is closed unless the node is frozen.
 	thawed chan struct{}
 	// alive is cancelled when the node is killed.
 	alive context.Context
 	kill  context.CancelFunc
 
-	cutAnswer *AnswerCut
-	open      int
-	peak      int
+	// advertised is the address that replicas name as their sender.
+	advertised netip.AddrPort
+	cutAnswer  *AnswerCut
+	open       int
+	peak       int
 }
 
 func newNode(g *group, spec UpstreamSpec, log *execLog) *node {
@@ -186,6 +187,7 @@
 	}
 	n.wal = append([]*record(nil), n.wal[:common]...)
 	n.primary = false
+	n.recoveredAt = 0
 	n.replayed = 0
 	n.timeline = firstTimeline
 	n.table = make(map[string]string)
