--- a/pkg/instance/status.go
+++ b/pkg/instance/status.go
@@ -131,6 +131,7 @@
 			ID:         member.Member.ID,
 			DataCentre: member.Member.DataCentre,
 			Address:    member.Member.Address,
+			Admin:      snapshot.Peers[member.Member.ID].Admin,
 			Revision:   snapshot.Peers[member.Member.ID].Ref.Revision,
 			Live:       member.State == members.Live,
 		})
