--- a/testbench/upstreamd/server.go
+++ b/testbench/upstreamd/server.go
@@ -99,9 +99,11 @@
 	n.spec.Port = listener.Addr().(*net.TCPAddr).Port
 	alive, kill := context.WithCancel(context.Background())
 	n.mu.Lock()
-	n.address = listener.Addr().(*net.TCPAddr).AddrPort()
 	n.alive, n.kill = alive, kill
 	n.down = false
+	if !n.advertised.IsValid() {
+		n.advertised = listener.Addr().(*net.TCPAddr).AddrPort()
+	}
 	n.mu.Unlock()
 	s.tasks.Add(2)
 	go func() {
