Let an instance audit its counters and log changes of state

Connections opened less closed must be those that are open, no more may be open than granted, and no more units of work in flight than sessions. A check must fail for 30 s, as the counters are not read at one moment. Changes of lag, grants, leaving upstreams and the registration are logged from the status. Events and metrics that nothing wrote are gone from the catalogues.

--- a/pkg/coordination/observe/engine.go
+++ b/pkg/coordination/observe/engine.go
@@ -65,7 +65,9 @@
 	if s.Attempt > 0 {
 		series.retries.Inc()
 	}
+	started := e.now()
 	ticket, refused := e.inner.Admit(ctx, s)
+	series.waited.Update(e.now().Sub(started).Seconds())
 	if refused != nil {
 		series.answers[refused.Outcome].Inc()
 		e.refused(ctx, group, series, refused)
--- a/pkg/coordination/observe/series.go
+++ b/pkg/coordination/observe/series.go
@@ -28,7 +28,7 @@
 	requests, retries, shed, writesLost *metrics.Counter
 	answers                             map[verdict.Outcome]*metrics.Counter
 	primaryReads, replicaReads          *metrics.Counter
-	seconds                             *metrics.Histogram
+	seconds, waited                     *metrics.Histogram
 }
 
 func newGroupSeries(group string) *groupSeries {
@@ -45,6 +45,7 @@
 		primaryReads: telemetry.Reads.With(group, labelPrimary),
 		replicaReads: telemetry.Reads.With(group, labelReplica),
 		seconds:      telemetry.RequestSeconds.With(group),
+		waited:       telemetry.QueueSeconds.With(group),
 	}
 }
 
--- a/pkg/events/configuration.go
+++ b/pkg/events/configuration.go
@@ -64,13 +64,6 @@
 		Level:   slog.LevelWarn,
 		Meaning: "The answer to a commit was lost; the outcome is being read back.",
 	})
-	// CommitSettled is event 514.
-	CommitSettled = define(Event{
-		Number:  514,
-		Name:    "commit outcome settled",
-		Level:   slog.LevelInfo,
-		Meaning: "The outcome of a commit was read back.",
-	})
 	// PlatformBadAnswer is event 515.
 	PlatformBadAnswer = define(Event{
 		Number:  515,
--- a/pkg/events/consistency.go
+++ b/pkg/events/consistency.go
@@ -65,20 +65,4 @@
 		Level:   slog.LevelInfo,
 		Meaning: "The number of connections that this instance may hold to an upstream changed.",
 	})
-	// GrantLapsed is event 441.
-	GrantLapsed = define(Event{
-		Number:  441,
-		Name:    "connection grant lapsed",
-		Level:   slog.LevelWarn,
-		Meaning: "A grant was not renewed in time; this instance closed the connections.",
-		Action:  "Check the platform.",
-	})
-	// UpstreamFull is event 442.
-	UpstreamFull = define(Event{
-		Number:  442,
-		Name:    "upstream refused a connection",
-		Level:   slog.LevelError,
-		Meaning: "An upstream has no connection left although the grants leave room.",
-		Action:  "Find who else connects to the upstream, or lower its connections in the folder.",
-	})
 )
--- a/pkg/events/failover.go
+++ b/pkg/events/failover.go
@@ -101,12 +101,4 @@
 		Meaning: "A replica did not become primary in time; another attempt follows.",
 		Action:  "If it repeats: check the replicas of the group.",
 	})
-	// NoCandidate is event 314.
-	NoCandidate = define(Event{
-		Number:  314,
-		Name:    "no candidate for promotion",
-		Level:   slog.LevelError,
-		Meaning: "No reachable replica holds what routes promised.",
-		Action:  "Bring a replica of the group back.",
-	})
 )
--- a/pkg/events/membership.go
+++ b/pkg/events/membership.go
@@ -33,14 +33,6 @@
 		Meaning: "The instance was removed from the members while it ran; it registers again and takes no writes until then.",
 		Action:  "Check the network around the instance.",
 	})
-	// MembershipDisagrees is event 605.
-	MembershipDisagrees = define(Event{
-		Number:  605,
-		Name:    "membership sources disagree",
-		Level:   slog.LevelWarn,
-		Meaning: "The platform's list and the mesh differ about an instance for longer than the list lags.",
-		Action:  "Check the instance.",
-	})
 	// StopStarted is event 610.
 	StopStarted = define(Event{
 		Number:  610,
--- a/pkg/events/traffic.go
+++ b/pkg/events/traffic.go
@@ -81,13 +81,6 @@
 		Meaning: "A caller was told that its request may have run.",
 		Action:  "Look for the upstream's events of the same time.",
 	})
-	// CallersListening is event 111.
-	CallersListening = define(Event{
-		Number:  111,
-		Name:    "listening for callers",
-		Level:   slog.LevelInfo,
-		Meaning: "The callers' listener is open.",
-	})
 	// UpstreamConnected is event 120.
 	UpstreamConnected = define(Event{
 		Number:  120,
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -5,17 +5,28 @@
 	"time"
 
 	"gypsumdock/pkg/telemetry"
+	"gypsumdock/pkg/transport/admin"
 )
 
-// metricsInterval is the time between two updates of the gauges.
+// metricsInterval is the time between two updates of the gauges, and between
+// two rounds of the audit.
 const metricsInterval = time.Second
 
-// exportMetrics keeps the gauges up to date until ctx ends.
+// exportMetrics keeps the gauges up to date, logs changes and audits the
+// counters, until ctx ends.
 func (i *Instance) exportMetrics(ctx context.Context) {
 	ticker := time.NewTicker(metricsInterval)
 	defer ticker.Stop()
+	counters := newAuditor()
+	last := i.observe()
 	for {
-		i.setGauges()
+		now := i.observe()
+		i.logChanges(ctx, last, now)
+		last = now
+		setGauges(now.status)
+		i.setPoolCounters()
+		telemetry.MeshPeers.With().Set(float64(len(i.mesh.Peers())))
+		i.audit(ctx, counters)
 		select {
 		case <-ctx.Done():
 			return
@@ -24,13 +35,10 @@
 	}
 }
 
-func (i *Instance) setGauges() {
-	i.setPoolCounters()
-	status := i.Status()
+func setGauges(status admin.Status) {
 	telemetry.CallerConnections.With().Set(float64(status.CallerConnections))
 	telemetry.SessionMarks.With().Set(float64(status.SessionMarks))
 	telemetry.ConfigurationRevision.With().Set(float64(status.Revision))
-	telemetry.MeshPeers.With().Set(float64(len(i.mesh.Peers())))
 	for _, group := range status.Groups {
 		telemetry.PermitValid.With(string(group.ID)).Set(gaugeOf(group.WritePermit))
 		telemetry.GroupGeneration.With(string(group.ID)).Set(float64(group.Generation))
@@ -45,8 +53,9 @@
 	}
 }
 
-// setPoolCounters sets the counters that the pools keep themselves.
+// setPoolCounters sets the counters that pools and sessions keep themselves.
 func (i *Instance) setPoolCounters() {
+	telemetry.CallerAuthFailed.With().Set(i.front.Stats().AuthFailed)
 	for _, stats := range i.pools.Stats() {
 		id := string(stats.Upstream)
 		telemetry.UpstreamOpened.With(id).Set(stats.Opened)
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -3,7 +3,7 @@
 // Metrics of callers and statements.
 var (
 	CallerConnections = gauge("gypsumdock_caller_connections", "Open connections of callers.")
-	CallerRefused     = counter("gypsumdock_caller_refused_total", "Connections of callers refused before the first statement.", "reason")
+	CallerAuthFailed  = counter("gypsumdock_caller_auth_failed_total", "Connections of callers refused for their login.")
 	Requests          = counter("gypsumdock_requests_total", "Units of work received: a statement outside a transaction, or a transaction.", "group")
 	Answers           = counter("gypsumdock_answers_total", "Units of work answered, by outcome: ran, not_run or may_have_run.", "group", "outcome")
 	Reads             = counter("gypsumdock_reads_total", "Read-only units of work by target: primary or replica.", "group", "target")
@@ -33,16 +33,13 @@
 var (
 	PermitValid     = gauge("gypsumdock_permit_valid", "1 while this instance may send writes to the group, else 0.", "group")
 	GroupGeneration = gauge("gypsumdock_group_generation", "Generation of the group's primary.", "group")
-	Promotions      = counter("gypsumdock_promotions_total", "Promotions ordered by this instance, by kind: failover or switch.", "group", "kind")
-	FailoverSeconds = histogram("gypsumdock_failover_seconds", "Time from the first sign of a lost primary to its successor's start, as this instance saw it.", "group")
 )
 
 // Metrics of sessions and admission.
 var (
 	SessionMarks  = gauge("gypsumdock_session_marks", "Marks of writes held for sessions.")
 	WritesLost    = counter("gypsumdock_writes_lost_total", "Sessions told that a write did not survive a change of primary.", "group")
-	QueueLength   = gauge("gypsumdock_queue_length", "Units of work waiting for a slot.", "group")
-	QueueSeconds  = histogram("gypsumdock_queue_seconds", "Time that a unit of work waited for a slot.", "group")
+	QueueSeconds  = histogram("gypsumdock_queue_seconds", "Time that a unit of work waited to be let in: for its marks, a position and a slot.", "group")
 	AdmissionShed = counter("gypsumdock_admission_refused_total", "Units of work refused because they would miss their deadline.", "group")
 )
 
