Divide connections by grants in the table

The share of an upstream's connections was computed by each instance from its own view of the members, so that two views could exceed the limit. The grants machine now runs in the control goroutine; its rows stand in the table, its lease is the confirmation of the members, and the pools take its limits. When the lease lapses, connections stay open and none is opened. The connections of an instance that is gone are ended and counted on the upstream before they are granted again.

--- a/pkg/coordination/control/actions.go
+++ b/pkg/coordination/control/actions.go
@@ -98,6 +98,7 @@
 		l.samples.adopted(l.now(), a.Bundle)
 		l.config.Sessions.SetGroups(groupIDs(a.Bundle))
 		l.probes.set(a.Bundle)
+		l.granting.adopted(a.Bundle)
 		l.step(specOf(a.Bundle))
 	case adoption.Announce:
 		l.announce()
--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -45,6 +45,8 @@
 	Peers     Peers
 	Sessions  Sessions
 	Traffic   Traffic
+	Grants    GrantStore
+	Pools     Pools
 	Logger    *slog.Logger
 }
 
@@ -68,6 +70,7 @@
 	view     failover.View
 	samples  *samples
 	probes   *probes
+	granting *granting
 	peers    map[model.InstanceID]PeerStatus
 	leaving  bool
 	ticks    ticks
@@ -98,6 +101,7 @@
 	}
 	l.samples = newSamples(config)
 	l.probes = newProbes(l)
+	l.granting = newGranting(l)
 	l.latest.Store(empty())
 	return l, nil
 }
@@ -195,6 +199,7 @@
 	head := l.view.Head
 	if head != nil && (head != before.Head || l.view.ConfirmedFrom > before.ConfirmedFrom) {
 		l.config.Sessions.HeadSeen(l.view.ConfirmedFrom, l.now(), head)
+		l.confirmGrants()
 	}
 	if head != nil && head != before.Head {
 		l.headChanged(before.Head)
@@ -202,6 +207,13 @@
 	l.publish()
 }
 
+// confirmGrants renews the lease on grants if the members were confirmed.
+func (l *Loop) confirmGrants() {
+	if l.view.ConfirmedFrom > 0 {
+		l.granting.confirmed()
+	}
+}
+
 // headChanged follows a new head row.
 func (l *Loop) headChanged(before *model.Head) {
 	head := l.view.Head
@@ -238,7 +250,7 @@
 		View:    l.view,
 		Routing: l.samples.routing(now, current, &l.view),
 		Peers:   maps.Clone(l.peers),
-		Grants:  shares(current, &l.view),
+		Grants:  l.granting.open(),
 		Leaving: l.leaving,
 	}
 	l.latest.Store(snapshot)
--- a/pkg/coordination/control/ports.go
+++ b/pkg/coordination/control/ports.go
@@ -5,10 +5,12 @@
 	"net/netip"
 	"time"
 
+	"gypsumdock/pkg/coordination/grantstore"
 	"gypsumdock/pkg/coordination/platform"
 	"gypsumdock/pkg/state/adoption"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/grants"
 	"gypsumdock/pkg/state/marks"
 	"gypsumdock/pkg/state/model"
 )
@@ -39,6 +41,27 @@
 type Upstreams interface {
 	Probe(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (Sample, error)
 	Promote(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (Sample, error)
+	// CountOf ends the connections that an instance has to the upstream, and
+	// returns how many there still are.
+	CountOf(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream, of model.InstanceID) (int, error)
+}
+
+// GrantStore reads and writes the rows that divide the connections of
+// upstreams. Package grantstore implements it.
+type GrantStore interface {
+	Read(ctx context.Context, upstream model.UpstreamID) (grantstore.Stored, error)
+	Write(
+		ctx context.Context, opID string, upstream model.UpstreamID, ifVersion model.RowVersion, row *grants.Row,
+	) (grants.WriteOutcome, grantstore.Stored)
+}
+
+// Pools holds the connections to upstreams.
+type Pools interface {
+	// Use returns the use of an upstream's connections.
+	Use(upstream model.UpstreamID) grants.Used
+	// SetLimits sets the number of connections up to which more may be
+	// opened, and the number beyond which some are closed.
+	SetLimits(upstream model.UpstreamID, limit, keep int)
 }
 
 // Status is what an instance tells its peers of itself.
@@ -61,6 +84,8 @@
 	Peers() []model.InstanceID
 	Send(to model.InstanceID, message failover.PeerMessage)
 	Announce(status Status)
+	// HintGrant tells a peer that an upstream's row of grants has changed.
+	HintGrant(to model.InstanceID, upstream model.UpstreamID)
 	// FetchBundle asks a peer for the bundle with the digest.
 	FetchBundle(ctx context.Context, from model.InstanceID, digest string) ([]byte, error)
 	// FetchHead asks any peer, those named in the settings included, for the
--- a/pkg/coordination/control/ticks.go
+++ b/pkg/coordination/control/ticks.go
@@ -16,6 +16,7 @@
 	instances time.Duration
 	adoption  time.Duration
 	behind    time.Duration
+	grants    time.Duration
 }
 
 // due reports whether interval has passed since last, and moves last on.
@@ -44,6 +45,9 @@
 	if due(now, statusInterval, &l.ticks.behind) {
 		l.catchUp()
 	}
+	if due(now, grantInterval, &l.ticks.grants) {
+		l.granting.tick()
+	}
 	l.followReplicas()
 }
 
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -8,6 +8,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/grantstore"
 	"gypsumdock/pkg/coordination/headstore"
 	"gypsumdock/pkg/coordination/observe"
 	"gypsumdock/pkg/coordination/platform"
@@ -39,8 +40,8 @@
 		Timeout: i.settings.Platform.Timeout,
 		Token:   string(i.settings.Platform.Token),
 	})
-	i.prober = pgprobe.New()
-	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle}); err != nil {
+	i.prober = pgprobe.New(applicationOf(i.self.ID))
+	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle, Application: applicationOf(i.self.ID)}); err != nil {
 		return err
 	}
 	peers, err := i.assembleControl()
@@ -87,7 +88,9 @@
 		Upstreams:      upstreams{i.prober},
 		Peers:          peers,
 		Sessions:       i.sessions,
-		Traffic:        publisher{i.engine, i.pools},
+		Traffic:        i.engine,
+		Grants:         grantstore.New(i.table()),
+		Pools:          poolUse{i.pools},
 		Logger:         i.logger,
 	})
 	i.loop = loop
--- /dev/null
+++ b/pkg/instance/pooluse.go
@@ -0,0 +1,21 @@
+package instance
+
+import (
+	"gypsumdock/pkg/state/grants"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/pgback"
+)
+
+// poolUse tells the control state how the connections to upstreams are used.
+type poolUse struct{ *pgback.Pools }
+
+// Use returns the use of an upstream's connections.
+func (p poolUse) Use(upstream model.UpstreamID) grants.Used {
+	stats := p.StatsOf(upstream)
+	return grants.Used{
+		Upstream: upstream,
+		Open:     stats.Open,
+		Busy:     max(stats.Open-stats.Idle, 0),
+		Waiting:  stats.Waiting,
+	}
+}
--- a/pkg/instance/upstreams.go
+++ b/pkg/instance/upstreams.go
@@ -5,6 +5,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/pgprobe"
 )
 
@@ -22,3 +23,14 @@
 	sample, err := u.prober.Promote(ctx, group, upstream)
 	return control.Sample(sample), err
 }
+
+// CountOf ends the connections that an instance has to the upstream, and
+// returns how many there still are.
+func (u upstreams) CountOf(
+	ctx context.Context, group *bundle.Group, upstream *bundle.Upstream, of model.InstanceID,
+) (int, error) {
+	return u.prober.CountOf(ctx, group, upstream, applicationOf(of))
+}
+
+// applicationOf returns the name that an instance gives to upstreams.
+func applicationOf(id model.InstanceID) string { return "gypsumdock/" + string(id) }
--- a/pkg/transport/meshpeer/inbound.go
+++ b/pkg/transport/meshpeer/inbound.go
@@ -24,6 +24,8 @@
 	switch body := message.GetBody().(type) {
 	case *meshpb.Envelope_Status:
 		h.Control.StatusReceived(from, meshlink.DecodeStatus(body.Status))
+	case *meshpb.Envelope_GrantHint:
+		h.Control.GrantHinted(model.UpstreamID(body.GrantHint.GetUpstream()))
 	case *meshpb.Envelope_HeadAsk:
 		h.handleHeadAsk(body.HeadAsk, reply)
 	case *meshpb.Envelope_BundleAsk:
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -34,6 +34,7 @@
 type Control interface {
 	PeerReceived(from model.InstanceID, message failover.PeerMessage)
 	StatusReceived(from model.InstanceID, status control.Status)
+	GrantHinted(upstream model.UpstreamID)
 	Snapshot() *control.Snapshot
 	Bundle(digest string) ([]byte, bool)
 }
@@ -104,6 +105,12 @@
 	return answer, nil
 }
 
+// HintGrant tells a peer that an upstream's row of grants has changed.
+func (p *Peers) HintGrant(to model.InstanceID, upstream model.UpstreamID) {
+	hint := &meshpb.GrantHint{Upstream: string(upstream)}
+	_ = p.node.Send(to, &meshpb.Envelope{Body: &meshpb.Envelope_GrantHint{GrantHint: hint}})
+}
+
 // FetchBundle asks a peer for the bundle with the digest.
 func (p *Peers) FetchBundle(ctx context.Context, from model.InstanceID, digest string) ([]byte, error) {
 	ask := &meshpb.Envelope{Body: &meshpb.Envelope_BundleAsk{BundleAsk: &meshpb.BundleAsk{Digest: digest}}}
--- a/pkg/transport/pgback/dial.go
+++ b/pkg/transport/pgback/dial.go
@@ -17,7 +17,7 @@
 // baseConnString fixes every setting that pgconn would otherwise take from its
 // environment. Address and login are set afterwards.
 const baseConnString = "host=127.0.0.1 port=5432 user=unset password=unset dbname=unset sslmode=disable " +
-	"passfile=/dev/null target_session_attrs=any application_name=gypsumdock " +
+	"passfile=/dev/null target_session_attrs=any " +
 	"require_auth=scram-sha-256,password,none"
 
 // dialer opens connections and logs in.
@@ -35,6 +35,7 @@
 	}
 	base.Fallbacks = nil
 	base.TLSConfig = config.TLS
+	base.RuntimeParams["application_name"] = config.Application
 	return &dialer{
 		base:       base,
 		timeout:    config.DialTimeout,
--- a/pkg/transport/pgback/pool.go
+++ b/pkg/transport/pgback/pool.go
@@ -33,7 +33,8 @@
 	stats   *counters
 
 	mu      sync.Mutex
-	limit   int
+	limit   int // connections up to which more may be opened
+	keep    int // connections beyond which some are closed
 	open    int // connections that are being opened, open or being closed
 	closing int // connections that are being closed
 	idle    []*conn
@@ -215,9 +216,9 @@
 	p.closeLocked(c)
 }
 
-// isOver reports whether more connections are open than the limit, apart from
-// those that are being closed.
-func (p *pool) isOver() bool { return p.open-p.closing > p.limit }
+// isOver reports whether more connections are open than may be kept, apart
+// from those that are being closed.
+func (p *pool) isOver() bool { return p.open-p.closing > p.keep }
 
 // closeLocked closes c. Its place is free once the upstream has closed its
 // side, so that the upstream never counts more connections than the limit.
@@ -251,10 +252,12 @@
 	return w
 }
 
-// setLimit changes the number of connections that may be open.
-func (p *pool) setLimit(limit int) {
+// setLimits changes the number of connections up to which more may be opened,
+// and the number beyond which some are closed.
+func (p *pool) setLimits(limit, keep int) {
 	p.mu.Lock()
 	p.limit = limit
+	p.keep = keep
 	for p.isOver() && len(p.idle) > 0 {
 		c := p.idle[0]
 		p.idle = append(p.idle[:0], p.idle[1:]...)
--- a/pkg/transport/pgback/pools.go
+++ b/pkg/transport/pgback/pools.go
@@ -37,6 +37,8 @@
 	MaxMessage int
 	// MaxStatements bounds the prepared statements of a connection.
 	MaxStatements int
+	// Application is the name that connections give to upstreams.
+	Application string
 	// DefaultLimit is the limit of an upstream until SetLimit is called.
 	DefaultLimit int
 	// MinIdle is the number of idle connections that each upstream keeps ready,
@@ -98,7 +100,13 @@
 // Where more are open, idle ones are closed at once and others when they are
 // released.
 func (p *Pools) SetLimit(upstream model.UpstreamID, limit int) {
-	p.pool(upstream).setLimit(limit)
+	p.pool(upstream).setLimits(limit, limit)
+}
+
+// SetLimits sets the number of connections up to which more may be opened, and
+// the number beyond which some are closed. keep is not below limit.
+func (p *Pools) SetLimits(upstream model.UpstreamID, limit, keep int) {
+	p.pool(upstream).setLimits(limit, keep)
 }
 
 // Warm tells the pool of upstream what connections will be asked for, so that
@@ -139,6 +147,7 @@
 		logger:  p.config.Logger.With(slog.String("upstream", string(id))),
 		stats:   &counters{},
 		limit:   p.config.DefaultLimit,
+		keep:    p.config.DefaultLimit,
 		closed:  p.closed,
 	}
 	p.pools[id] = created
@@ -167,6 +176,11 @@
 	Limit   int
 }
 
+// StatsOf returns the counts of one upstream.
+func (p *Pools) StatsOf(upstream model.UpstreamID) Stats {
+	return p.pool(upstream).snapshot(upstream)
+}
+
 // Stats returns the counts of each upstream, in no order.
 func (p *Pools) Stats() []Stats {
 	p.mu.RLock()
--- a/pkg/transport/pgprobe/lane.go
+++ b/pkg/transport/pgprobe/lane.go
@@ -15,10 +15,12 @@
 	token   chan struct{}
 	conn    *pgconn.PgConn
 	address string
+
+	application string
 }
 
-func newLane() *lane {
-	l := &lane{token: make(chan struct{}, 1)}
+func newLane(application string) *lane {
+	l := &lane{token: make(chan struct{}, 1), application: application}
 	l.token <- struct{}{}
 	return l
 }
@@ -53,7 +55,7 @@
 		return nil
 	}
 	l.discard()
-	conn, err := connect(ctx, group, upstream)
+	conn, err := l.open(ctx, group, upstream)
 	if err != nil {
 		return err
 	}
@@ -79,7 +81,7 @@
 	l.token <- struct{}{}
 }
 
-func connect(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (*pgconn.PgConn, error) {
+func (l *lane) open(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) (*pgconn.PgConn, error) {
 	config, err := pgconn.ParseConfig("sslmode=disable")
 	if err != nil {
 		return nil, errors.Wrap(err, "probe settings")
@@ -91,5 +93,6 @@
 	config.Password = group.Password
 	config.Database = group.Database
 	config.Fallbacks = nil
+	config.RuntimeParams["application_name"] = l.application
 	return pgconn.ConnectConfig(ctx, config)
 }
--- a/pkg/transport/pgprobe/pgprobe.go
+++ b/pkg/transport/pgprobe/pgprobe.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -25,6 +26,10 @@
 	queryReceiver   = "SELECT sender_host, sender_port FROM pg_stat_wal_receiver"
 	queryPromote    = "SELECT pg_promote()"
 	valueTrue       = "t"
+
+	queryTerminate   = "SELECT pg_terminate_backend(pid) FROM pg_stat_activity"
+	queryCount       = "SELECT count(*) FROM pg_stat_activity"
+	whereApplication = " WHERE application_name = '%s'"
 )
 
 // Sample is what an upstream says of itself.
@@ -42,14 +47,16 @@
 // Prober keeps one connection to each upstream. It is safe for concurrent use;
 // the questions to one upstream wait for each other.
 type Prober struct {
+	application string
 	// mu guards lanes.
 	mu    sync.Mutex
 	lanes map[model.UpstreamID]*lane
 }
 
-// New returns a Prober without connections.
-func New() *Prober {
-	return &Prober{lanes: make(map[model.UpstreamID]*lane)}
+// New returns a Prober without connections. application is the name that its
+// connections give to upstreams.
+func New(application string) *Prober {
+	return &Prober{application: application, lanes: make(map[model.UpstreamID]*lane)}
 }
 
 // Probe asks upstream for its state. On any error its connection is closed.
@@ -87,6 +94,32 @@
 	})
 }
 
+// CountOf ends the connections to upstream that were opened under the name
+// application, and returns how many there still are.
+func (p *Prober) CountOf(
+	ctx context.Context, group *bundle.Group, upstream *bundle.Upstream, application string,
+) (int, error) {
+	return onLane(ctx, p.lane(upstream.ID), group, upstream, func(ctx context.Context, conn *pgconn.PgConn) (int, error) {
+		return endAndCount(ctx, conn, application)
+	})
+}
+
+func endAndCount(ctx context.Context, conn *pgconn.PgConn, application string) (int, error) {
+	name, err := conn.EscapeString(application)
+	if err != nil {
+		return 0, errors.Wrap(err, "application name")
+	}
+	where := fmt.Sprintf(whereApplication, name)
+	if _, err := query(ctx, conn, queryTerminate+where); err != nil {
+		return 0, err
+	}
+	text, err := value(ctx, conn, queryCount+where)
+	if err != nil {
+		return 0, err
+	}
+	return strconv.Atoi(text)
+}
+
 // Close closes all connections. Questions under way end with an error.
 func (p *Prober) Close() {
 	p.mu.Lock()
@@ -103,7 +136,7 @@
 	defer p.mu.Unlock()
 	found, exists := p.lanes[id]
 	if !exists {
-		found = newLane()
+		found = newLane(p.application)
 		p.lanes[id] = found
 	}
 	return found
--- a/testbench/probe/probe_test.go
+++ b/testbench/probe/probe_test.go
@@ -41,7 +41,7 @@
 var _ = Describe("Prober", func() {
 	It("sees roles, timelines and whom a replica follows, and promotes once", func(ctx SpecContext) {
 		group, _ := startGroup()
-		prober := pgprobe.New()
+		prober := pgprobe.New("probe")
 		DeferCleanup(prober.Close)
 		probe := func(i int) pgprobe.Sample {
 			GinkgoHelper()
@@ -67,7 +67,7 @@
 
 	It("fails on an upstream that is gone", func(ctx SpecContext) {
 		group, server := startGroup()
-		prober := pgprobe.New()
+		prober := pgprobe.New("probe")
 		DeferCleanup(prober.Close)
 		_, err := prober.Probe(ctx, group, &group.Upstreams[0])
 		Expect(err).NotTo(HaveOccurred())
@@ -77,4 +77,20 @@
 		_, err = prober.Probe(ctx, group, &group.Upstreams[0])
 		Expect(err).To(HaveOccurred())
 	})
+
+	It("ends and counts the connections of an instance that is gone", func(ctx SpecContext) {
+		group, _ := startGroup()
+		gone := pgprobe.New("gone")
+		DeferCleanup(gone.Close)
+		_, err := gone.Probe(ctx, group, &group.Upstreams[0])
+		Expect(err).NotTo(HaveOccurred())
+		prober := pgprobe.New("prober")
+		DeferCleanup(prober.Close)
+		Eventually(func() (int, error) {
+			return prober.CountOf(ctx, group, &group.Upstreams[0], "gone")
+		}).Should(BeZero())
+		Expect(prober.CountOf(ctx, group, &group.Upstreams[0], "it's")).To(BeZero())
+		_, err = gone.Probe(ctx, group, &group.Upstreams[0])
+		Expect(err).To(HaveOccurred())
+	})
 })
--- a/testbench/upstreamd/conn.go
+++ b/testbench/upstreamd/conn.go
@@ -41,7 +41,11 @@
 	exec    executor
 	id      uint32
 	secret  []byte
-	alive   context.Context
+	// application is the name that the client gave.
+	application string
+	// terminate ends the connection.
+	terminate func()
+	alive     context.Context
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -69,6 +73,10 @@
 		prepared: make(map[string]*prepared),
 		portals:  make(map[string]*portal),
 	}
+	c.terminate = func() {
+		cancel()
+		_ = raw.Close()
+	}
 	c.exec = executor{node: n, backend: c.id}
 	c.backend.SetMaxBodyLen(maxMessageBytes)
 	if !n.waitThawed(ctx) {
@@ -127,6 +135,7 @@
 	if err != nil {
 		return false, err
 	}
+	c.application = startup.Parameters["application_name"]
 	if !c.node.enter() {
 		return false, c.refuse(sql.Errorf(sql.CodeTooManyConnections, "sorry, too many clients already"))
 	}
--- a/testbench/upstreamd/exec_read.go
+++ b/testbench/upstreamd/exec_read.go
@@ -141,6 +141,9 @@
 
 func (e *executor) selectRows(ctx context.Context, query sql.Select) (result, error) {
 	env := &rowEnv{ctx: ctx, exec: e, from: query.From}
+	if query.From != nil && query.From.Name == sql.ViewActivity {
+		return e.activity(query, env)
+	}
 	if !query.FromRecords {
 		return e.selectValues(query, env)
 	}
--- a/testbench/upstreamd/sql/ast.go
+++ b/testbench/upstreamd/sql/ast.go
@@ -156,3 +156,10 @@
 // ViewWALReceiver is PostgreSQL's view of the connection to the primary. It
 // has one row on a replica that streams, and none otherwise.
 const ViewWALReceiver = "pg_stat_wal_receiver"
+
+// ViewActivity is PostgreSQL's view of the server's connections. It can be
+// searched by ColumnApplication only.
+const ViewActivity = "pg_stat_activity"
+
+// ColumnApplication is the name that a client gave at its start.
+const ColumnApplication Column = "application_name"
--- a/testbench/upstreamd/sql/parser.go
+++ b/testbench/upstreamd/sql/parser.go
@@ -289,7 +289,7 @@
 func (p *parser) column() (Column, error) {
 	name := p.take()
 	column := Column(name.text)
-	if column != ColumnKey && column != ColumnValue {
+	if column != ColumnKey && column != ColumnValue && column != ColumnApplication {
 		return "", Errorf(CodeUndefinedColumn, "column %q does not exist", name.text)
 	}
 	return column, nil
--- a/testbench/upstreamd/sql/parser_select.go
+++ b/testbench/upstreamd/sql/parser_select.go
@@ -47,10 +47,11 @@
 		query.FromRecords = true
 		return p.table()
 	}
-	if p.acceptWord(ViewWALReceiver) {
-		query.From = &Call{Name: ViewWALReceiver}
-		p.alias()
-		return nil
+	for _, view := range []string{ViewWALReceiver, ViewActivity} {
+		if p.acceptWord(view) {
+			query.From = &Call{Name: view}
+			return nil
+		}
 	}
 	expr, err := p.operand()
 	if err != nil {
