--- a/pkg/state/admission/overload_test.go
+++ b/pkg/state/admission/overload_test.go
@@ -148,3 +148,15 @@
 		Expect(queue.Callers()).To(BeNumerically("<", 100))
 	})
 })
+
+func BenchmarkArriveRelease(b *testing.B) {
+	queue := admission.New(admission.DefaultConfig(5))
+	b.ReportAllocs()
+	for i := range b.N {
+		id, now := admission.UnitID(i), time.Duration(i)*time.Microsecond
+		queue.Arrive(now, admission.Unit{
+			ID: id, Caller: callerName(i % 8), Connection: admission.ConnectionID(i % 64), Arrived: now, Deadline: now + time.Second,
+		}, 1)
+		queue.Release(now, id-admission.UnitID(min(i, 20)), 1)
+	}
+}
--- a/pkg/state/routing/share_test.go
+++ b/pkg/state/routing/share_test.go
@@ -480,3 +480,20 @@
 		Expect(simulateShare(stuck).violations).To(BeZero())
 	})
 })
+
+func BenchmarkChoose(b *testing.B) {
+	s := &shareSim{shareScenario: shareScenario{slots: 5}, committed: []time.Duration{0}}
+	s.build()
+	n := s.nodes[0]
+	for _, db := range s.dbs {
+		s.probed(n, db, 0, at(1))
+	}
+	snapshot := s.snapshot(n)
+	request := routing.Request{
+		Route: &bundle.Route{Group: group, MaxAge: shareAge}, ReadOnly: true, Floor: at(1), Kind: routing.FloorMarks,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = routing.Choose(0, snapshot, request)
+	}
+}
