--- a/pkg/coordination/engine/engine.go
+++ b/pkg/coordination/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/coordination/share"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/marks"
 	"gypsumdock/pkg/state/model"
@@ -51,11 +52,12 @@
 	snapshot atomic.Pointer[control.Snapshot]
 	callers  atomic.Pointer[func() int]
 	stats    counters
+	retries  *retries
 
 	// mu guards the maps below; their values have locks of their own.
 	mu       sync.RWMutex
 	lanes    map[model.UpstreamID]*lane
-	samplers map[model.GroupID]*sampler
+	samplers map[model.GroupID]*share.Call[sample]
 	watches  map[model.UpstreamID]*watch
 	writes   map[generation]*atomic.Int64
 }
@@ -70,8 +72,9 @@
 func New(config Config) *Engine {
 	e := &Engine{
 		config:   config,
+		retries:  newRetries(),
 		lanes:    make(map[model.UpstreamID]*lane),
-		samplers: make(map[model.GroupID]*sampler),
+		samplers: make(map[model.GroupID]*share.Call[sample]),
 		watches:  make(map[model.UpstreamID]*watch),
 		writes:   make(map[generation]*atomic.Int64),
 	}
