--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -61,7 +61,7 @@
 		Self:        i.self.ID,
 		Lease:       lease,
 		Clock:       i.clock,
-		Peers:       peers,
+		Peers:       tracedPeers{peers, i.tracer},
 		RefreshHead: func() { i.loop.RefreshHead() },
 	})
 	i.engine = engine.New(engine.Config{
--- a/pkg/instance/spans.go
+++ b/pkg/instance/spans.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/state/marks"
+	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 )
 
@@ -17,5 +20,29 @@
 // Start starts a span; end ends it.
 func (s spans) Start(ctx context.Context, name string) (context.Context, func()) {
 	ctx, span := s.tracer.Hop(ctx, name)
-	return ctx, func() { span.End("", nil) }
+	return ctx, func() { span.End(nil) }
+}
+
+// tracedPeers starts the spans of calls to the homes of sessions.
+type tracedPeers struct {
+	sessions.Peers
+	tracer *telemetry.Tracer
+}
+
+// StoreMark traces and calls the peers' StoreMark.
+func (p tracedPeers) StoreMark(
+	ctx context.Context, home marks.Target, key marks.Key, mark model.Mark,
+) (marks.StoreStatus, error) {
+	ctx, span := p.tracer.Hop(ctx, "mesh.store_mark")
+	status, err := p.Peers.StoreMark(ctx, home, key, mark)
+	span.End(err)
+	return status, err
+}
+
+// AskMark traces and calls the peers' AskMark.
+func (p tracedPeers) AskMark(ctx context.Context, home marks.Target, key marks.Key) (marks.Answer, error) {
+	ctx, span := p.tracer.Hop(ctx, "mesh.ask_mark")
+	answer, err := p.Peers.AskMark(ctx, home, key)
+	span.End(err)
+	return answer, err
 }
--- a/pkg/telemetry/tracer.go
+++ b/pkg/telemetry/tracer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -79,52 +80,38 @@
 	return t.provider.Shutdown(ctx)
 }
 
-// Caller starts the span of a caller's unit of work. traceparent is the
-// caller's own context, or empty; see Traceparent.
-func (t *Tracer) Caller(ctx context.Context, traceparent, caller, group string) (context.Context, Span) {
+// Hop starts the span of a hop of a unit of work. name starts with one of the
+// hops below and a dot.
+func (t *Tracer) Hop(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, Span) {
 	if t == nil {
 		return ctx, Span{}
 	}
-	return t.start(withRemote(ctx, traceparent), "caller", trace.SpanKindServer,
-		attribute.String("db.user", caller),
-		attribute.String("gypsumdock.group", group),
-	)
-}
-
-// Mesh starts the span of a call to a peer.
-func (t *Tracer) Mesh(ctx context.Context, peer string) (context.Context, Span) {
-	if t == nil {
-		return ctx, Span{}
-	}
-	return t.start(ctx, "mesh", trace.SpanKindClient, attribute.String("gypsumdock.peer", peer))
-}
-
-// Forwarded starts the span of a unit of work that a peer forwarded.
-// traceparent comes with the call; see Inject.
-func (t *Tracer) Forwarded(ctx context.Context, traceparent, peer string) (context.Context, Span) {
-	if t == nil {
-		return ctx, Span{}
-	}
-	return t.start(withRemote(ctx, traceparent), "mesh", trace.SpanKindServer, attribute.String("gypsumdock.peer", peer))
+	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(kindOf(name)), trace.WithAttributes(attributes...))
+	return ctx, Span{span: span}
 }
 
-// Upstream starts the span of a unit of work on an upstream.
-func (t *Tracer) Upstream(ctx context.Context, upstream string) (context.Context, Span) {
-	if t == nil {
-		return ctx, Span{}
-	}
-	return t.start(ctx, "upstream", trace.SpanKindClient, attribute.String("gypsumdock.upstream", upstream))
-}
+// The hops of a unit of work.
+const (
+	HopCaller   = "caller"
+	HopMesh     = "mesh"
+	HopUpstream = "upstream"
+)
 
-// Hop starts the span of a hop within a unit of work.
-func (t *Tracer) Hop(ctx context.Context, name string) (context.Context, Span) {
-	if t == nil {
-		return ctx, Span{}
+// kindOf returns whether the hop of a span serves a call or makes one.
+func kindOf(name string) trace.SpanKind {
+	hop, _, _ := strings.Cut(name, ".")
+	switch hop {
+	case HopCaller:
+		return trace.SpanKindServer
+	case HopMesh, HopUpstream:
+		return trace.SpanKindClient
+	default:
+		return trace.SpanKindInternal
 	}
-	return t.start(ctx, name, trace.SpanKindInternal)
 }
 
-// Join returns ctx with the remote span of a traceparent as parent.
+// Join returns ctx with the remote span of a W3C traceparent as parent. One
+// that is malformed is ignored.
 func (t *Tracer) Join(ctx context.Context, traceparent string) context.Context {
 	if t == nil {
 		return ctx
@@ -132,20 +119,14 @@
 	return withRemote(ctx, traceparent)
 }
 
-func (t *Tracer) start(ctx context.Context, name string, kind trace.SpanKind, attributes ...attribute.KeyValue) (context.Context, Span) {
-	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(attributes...))
-	return ctx, Span{span: span}
-}
-
 // Span is a hop of a unit of work. The zero Span does nothing.
 type Span struct{ span trace.Span }
 
-// End ends the span with the outcome of the unit; err is nil for a success.
-func (s Span) End(outcome string, err error) {
+// End ends the span; err is nil for a success.
+func (s Span) End(err error) {
 	if s.span == nil {
 		return
 	}
-	s.span.SetAttributes(attribute.String("gypsumdock.outcome", outcome))
 	if err != nil {
 		s.span.SetStatus(codes.Error, err.Error())
 	}
--- a/pkg/telemetry/tracer_test.go
+++ b/pkg/telemetry/tracer_test.go
@@ -18,47 +18,35 @@
 	notSampled = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00"
 )
 
-var _ = DescribeTable("Traceparent",
-	func(statement, expected string) {
-		Expect(Traceparent(statement)).To(Equal(expected))
-	},
-	Entry("at the end", "SELECT 1 /*route='free',traceparent='"+sampled+"'*/;", sampled),
-	Entry("at the start", " /*traceparent='"+sampled+"'*/ SELECT '/*'", sampled),
-	Entry("URL-encoded", "SELECT 1 /*traceparent='00%2D1'*/", "00-1"),
-	Entry("in no comment", "SELECT traceparent='"+sampled+"'", ""),
-	Entry("not quoted", "SELECT 1 /*traceparent="+sampled+"*/", ""),
-	Entry("cut", "/*traceparent='", ""),
-	Entry("empty", "", ""),
-)
-
 var _ = Describe("Tracer", func() {
 	ctx := context.Background()
 
 	It("makes one span for each hop of one trace, across instances", func() {
 		recorder := tracetest.NewSpanRecorder()
 		tracer := newTracer(0, "i1", sdktrace.WithSpanProcessor(recorder))
-		callerCtx, callerSpan := tracer.Caller(ctx, sampled, "desk", "plugs")
-		meshCtx, meshSpan := tracer.Mesh(callerCtx, "i2")
-		remoteCtx, remoteSpan := tracer.Forwarded(ctx, tracer.Inject(meshCtx), "i1")
-		_, upstreamSpan := tracer.Upstream(remoteCtx, "a")
-		upstreamSpan.End("ran", nil)
-		remoteSpan.End("ran", nil)
-		meshSpan.End("ran", nil)
-		callerSpan.End("may have run", errors.New("cut"))
-		var names []string
+		callerCtx, callerSpan := tracer.Hop(tracer.Join(ctx, sampled), "caller.admit")
+		meshCtx, meshSpan := tracer.Hop(callerCtx, "mesh.forward")
+		_, upstreamSpan := tracer.Hop(tracer.Join(ctx, tracer.Inject(meshCtx)), "upstream.exchange")
+		upstreamSpan.End(nil)
+		meshSpan.End(nil)
+		callerSpan.End(errors.New("cut"))
+		var hops []string
 		for _, span := range recorder.Ended() {
-			names = append(names, span.Name())
+			hops = append(hops, span.Name()+" "+span.SpanKind().String())
 			Expect(span.SpanContext().TraceID().String()).To(Equal("4bf92f3577b34da6a3ce929d0e0e4736"))
 		}
-		Expect(names).To(Equal([]string{"upstream", "mesh", "mesh", "caller"}))
+		Expect(hops).To(Equal([]string{"upstream.exchange client", "mesh.forward client", "caller.admit server"}))
 	})
 
-	It("follows the caller's decision not to sample", func() {
+	It("follows the caller's decision not to sample, and ignores a malformed one", func() {
 		recorder := tracetest.NewSpanRecorder()
 		tracer := newTracer(1, "i1", sdktrace.WithSpanProcessor(recorder))
-		_, span := tracer.Caller(ctx, notSampled, "desk", "plugs")
-		span.End("ran", nil)
+		_, span := tracer.Hop(tracer.Join(ctx, notSampled), "caller.admit")
+		span.End(nil)
 		Expect(recorder.Ended()).To(BeEmpty())
+		_, span = tracer.Hop(tracer.Join(ctx, "00-zz"), "caller.admit")
+		span.End(nil)
+		Expect(recorder.Ended()).To(HaveLen(1))
 	})
 
 	It("costs no allocation when it is off", func() {
@@ -66,10 +54,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(tracer).To(BeNil())
 		allocations := testing.AllocsPerRun(100, func() {
-			callerCtx, span := tracer.Caller(ctx, "", "desk", "plugs")
-			_, upstream := tracer.Upstream(callerCtx, tracer.Inject(callerCtx))
-			upstream.End("ran", nil)
-			span.End("ran", nil)
+			callerCtx, span := tracer.Hop(tracer.Join(ctx, sampled), "caller.admit")
+			_, upstream := tracer.Hop(callerCtx, tracer.Inject(callerCtx))
+			upstream.End(nil)
+			span.End(nil)
 		})
 		Expect(allocations).To(BeZero())
 		Expect(tracer.Shutdown(ctx)).To(Succeed())
