--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -155,11 +155,8 @@
 	var lost error
 	for range maxResends {
 		result, err := p.Table.Commit(ctx, opID, writes)
-		if err == nil && (result.Applied || !ownWrite(result, opID)) {
-			return result.Applied, nil
-		}
 		if err == nil {
-			return true, nil
+			return result.Applied || ownWrite(result, opID), nil
 		}
 		lost = err
 		settlement, rows, err := platform.Settle(ctx, p.Table, opID, writes)
--- a/pkg/transport/admin/handler.go
+++ b/pkg/transport/admin/handler.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"gypsumdock/pkg/telemetry"
@@ -15,6 +16,7 @@
 	PathReady       = "/readyz"
 	PathStatus      = "/status"
 	PathGroupSwitch = "/group/switch"
+	PathProfiles    = "/debug/pprof/"
 )
 
 const (
@@ -43,6 +45,8 @@
 	mux.HandleFunc("GET "+PathReady, h.ready)
 	mux.HandleFunc("GET "+PathStatus, h.status)
 	mux.HandleFunc("POST "+PathGroupSwitch, h.groupSwitch)
+	mux.HandleFunc("GET "+PathProfiles, pprof.Index)
+	mux.HandleFunc("GET "+PathProfiles+"profile", pprof.Profile)
 	return mux
 }
 
