--- a/testbench/operations/operations_test.go
+++ b/testbench/operations/operations_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,4 +165,40 @@
 		}
 		Expect(o.succeed(ctx, "group", "show", group.ID)).To(ContainSubstring("generation 2"))
 	})
+
+	It("finds no secret in the logs and in the status", func(ctx SpecContext) {
+		secrets := o.secrets()
+		Expect(secrets).NotTo(BeEmpty())
+		shown := o.succeed(ctx, "--output", "json", "status") + o.succeed(ctx, "history")
+		for _, instance := range o.Instances {
+			data, err := os.ReadFile(instance.LogPath)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(data).NotTo(BeEmpty())
+			shown += string(data)
+		}
+		for _, secret := range secrets {
+			Expect(strings.Contains(shown, secret)).To(BeFalse())
+		}
+	})
 })
+
+var secretKey = regexp.MustCompile(`(?m)^\s*(?:password|verifier) = "(.+)"`)
+
+// secrets returns the passwords and verifiers of the folder, and the callers'
+// passwords.
+func (o operator) secrets() []string {
+	var all []string
+	files, err := filepath.Glob(filepath.Join(o.Folder, "*.toml"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		for _, match := range secretKey.FindAllStringSubmatch(string(data), -1) {
+			all = append(all, match[1])
+		}
+	}
+	for _, caller := range o.Profile().Callers {
+		all = append(all, caller.Password)
+	}
+	return all
+}
