--- /dev/null
+++ b/pkg/coordination/engine/world_test.go
@@ -0,0 +1,189 @@
+package engine_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/sessions"
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/marks"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/routing"
+)
+
+const (
+	group      model.GroupID    = "plugs"
+	primary    model.UpstreamID = "a"
+	replicaA   model.UpstreamID = "b"
+	replicaB   model.UpstreamID = "c"
+	generation model.Generation = 3
+
+	slots          = 2
+	applied        = 200
+	permitLifetime = 3 * time.Second
+	deadline       = 5 * time.Second
+
+	tagAged   = "aged"
+	tagSynced = "synced"
+)
+
+type fakeClock struct{ now atomic.Int64 }
+
+func (c *fakeClock) Now() time.Duration         { return time.Duration(c.now.Load()) }
+func (c *fakeClock) advance(span time.Duration) { c.now.Add(int64(span)) }
+
+type fakeSessions struct {
+	answer   marks.Answer
+	stored   sessions.Stored
+	onRecord func()
+	told     []model.Mark
+}
+
+func (s *fakeSessions) Ask(context.Context, marks.Key) marks.Answer { return s.answer }
+
+func (s *fakeSessions) Told(_ marks.Key, mark model.Mark) { s.told = append(s.told, mark) }
+
+func (s *fakeSessions) Record(context.Context, marks.Key, model.Mark) sessions.Stored {
+	if s.onRecord != nil {
+		s.onRecord()
+	}
+	return s.stored
+}
+
+// fakePositions answers for upstreams.
+type fakePositions struct {
+	mu       sync.Mutex
+	at       map[model.UpstreamID]model.LSN
+	promoted map[model.UpstreamID]bool
+}
+
+func (p *fakePositions) set(id model.UpstreamID, at model.LSN) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at[id] = at
+}
+
+func (p *fakePositions) promote(id model.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.promoted[id] = true
+}
+
+func (p *fakePositions) position(upstream *bundle.Upstream) (model.LSN, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, known := p.at[upstream.ID]
+	if !known {
+		return 0, errors.New("no answer")
+	}
+	return at, nil
+}
+
+func (p *fakePositions) Current(_ context.Context, _ *bundle.Group, upstream *bundle.Upstream) (model.LSN, error) {
+	return p.position(upstream)
+}
+
+func (p *fakePositions) Replayed(_ context.Context, _ *bundle.Group, upstream *bundle.Upstream) (model.LSN, error) {
+	return p.position(upstream)
+}
+
+func (p *fakePositions) Recovering(_ context.Context, _ *bundle.Group, upstream *bundle.Upstream) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return upstream.ID != primary && !p.promoted[upstream.ID], nil
+}
+
+// state is what the control goroutine would publish.
+type state struct {
+	generation model.Generation
+	sealed     bool
+	freshAt    time.Duration
+}
+
+type world struct {
+	engine    *engine.Engine
+	clock     *fakeClock
+	sessions  *fakeSessions
+	positions *fakePositions
+	state     state
+	bundle    *bundle.Bundle
+}
+
+func newWorld() *world {
+	w := &world{
+		clock:    &fakeClock{},
+		sessions: &fakeSessions{stored: sessions.StoredAtHome},
+		positions: &fakePositions{
+			at:       map[model.UpstreamID]model.LSN{replicaA: applied, replicaB: applied},
+			promoted: map[model.UpstreamID]bool{},
+		},
+		state:  state{generation: generation},
+		bundle: testBundle(),
+	}
+	w.engine = engine.New(engine.Config{
+		Clock: w.clock, Sessions: w.sessions, Positions: w.positions, Random: func() uint64 { return 7 },
+	})
+	w.publish(func(*state) {})
+	return w
+}
+
+func testBundle() *bundle.Bundle {
+	configured := bundle.Group{ID: group, Database: "plugs"}
+	for _, id := range []model.UpstreamID{primary, replicaA, replicaB} {
+		configured.Upstreams = append(configured.Upstreams, bundle.Upstream{ID: id, Slots: slots})
+	}
+	return &bundle.Bundle{
+		Groups: []bundle.Group{configured},
+		Routes: []bundle.Route{
+			{Name: "aged", Group: group, Tag: tagAged, ReadOnly: true, MaxAge: time.Minute, Deadline: deadline},
+			{Name: "synced", Group: group, Tag: tagSynced, WaitReplicas: 1, Deadline: deadline},
+		},
+		Callers: []bundle.Caller{{Name: "desk", Weight: 1}},
+	}
+}
+
+// publish changes the state and puts it in force.
+func (w *world) publish(change func(*state)) {
+	change(&w.state)
+	made := routing.Group{
+		ID: group, Generation: w.state.generation, PermitUntil: permitLifetime, Sealed: w.state.sealed,
+	}
+	for _, upstream := range w.bundle.Groups[0].Upstreams {
+		made.Upstreams = append(made.Upstreams, routing.Upstream{
+			ID:         upstream.ID,
+			Primary:    upstream.ID == primary,
+			Usable:     true,
+			Applied:    model.Mark{Generation: w.state.generation, LSN: applied},
+			FreshAt:    w.state.freshAt,
+			FreshKnown: true,
+			Edges:      routing.AgeSet{time.Minute},
+			Slots:      slots,
+		})
+	}
+	w.engine.Publish(&control.Snapshot{
+		Bundle: w.bundle,
+		View: failover.View{
+			Members: make([]failover.MemberView, 1),
+			Groups: []failover.GroupView{{
+				ID: group, Generation: w.state.generation, Primary: primary,
+				PermitUntil: permitLifetime, Sealed: w.state.sealed,
+			}},
+		},
+		Routing: &routing.Snapshot{Groups: []routing.Group{made}, Options: routing.DefaultOptions()},
+	})
+}
+
+// statement returns a unit of work of the desk.
+func (w *world) statement(tag string, readOnly bool) traffic.Statement {
+	return traffic.Statement{
+		Caller: "desk", Session: "desk", Database: "plugs", Tag: tag, ReadOnly: readOnly, Arrived: time.Now(),
+	}
+}
