--- /dev/null
+++ b/pkg/coordination/control/control_test.go
@@ -0,0 +1,223 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/grantstore"
+	"gypsumdock/pkg/coordination/headstore"
+	"gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/platform/platformfake"
+	"gypsumdock/pkg/state/adoption"
+	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/grants"
+	"gypsumdock/pkg/state/model"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+const (
+	region      = "cymru-south"
+	group       = model.GroupID("plugs")
+	patience    = 20 * time.Second
+	connections = 16
+)
+
+type clock struct{ start time.Time }
+
+func (c clock) Now() time.Duration { return time.Since(c.start) }
+
+// upstreams is a group of three servers without statements.
+type upstreams struct {
+	mu      sync.Mutex
+	primary model.UpstreamID
+	lost    map[model.UpstreamID]bool
+	// timeline rises with each promotion.
+	timeline uint32
+}
+
+var errGone = errors.New("no answer")
+
+func (u *upstreams) Probe(_ context.Context, _ *bundle.Group, upstream *bundle.Upstream) (control.Sample, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.lost[upstream.ID] {
+		return control.Sample{}, errGone
+	}
+	return control.Sample{Recovering: upstream.ID != u.primary, Timeline: u.timeline, LSN: 100}, nil
+}
+
+func (u *upstreams) Promote(_ context.Context, _ *bundle.Group, upstream *bundle.Upstream) (control.Sample, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.lost[upstream.ID] {
+		return control.Sample{}, errGone
+	}
+	if u.primary != upstream.ID {
+		u.primary = upstream.ID
+		u.timeline++
+	}
+	return control.Sample{Timeline: u.timeline, LSN: 100}, nil
+}
+
+func (u *upstreams) CountOf(context.Context, *bundle.Group, *bundle.Upstream, model.InstanceID) (int, error) {
+	return 0, nil
+}
+
+func (u *upstreams) lose(id model.UpstreamID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lost[id] = true
+}
+
+// quiet is an instance without peers, callers and marks.
+type quiet struct{}
+
+func (quiet) SetPeers([]model.Member)                                 {}
+func (quiet) Peers() []model.InstanceID                               { return nil }
+func (quiet) Send(model.InstanceID, failover.PeerMessage)             {}
+func (quiet) Announce(control.Status)                                 {}
+func (quiet) HintGrant(model.InstanceID, model.UpstreamID)            {}
+func (quiet) FetchHead(context.Context) (*model.Head, error)          { return nil, errGone }
+func (quiet) HeadSeen(_, _ time.Duration, _ *model.Head)              {}
+func (quiet) PrimarySampled(time.Duration, model.GroupID, model.Mark) {}
+func (quiet) Passed(model.GroupID, model.Mark)                        {}
+func (quiet) SetGroups([]model.GroupID)                               {}
+func (quiet) Publish(*control.Snapshot)                               {}
+func (quiet) WritesInFlight(model.GroupID, model.Generation) int      { return 0 }
+func (quiet) Sessions() int                                           { return 0 }
+func (quiet) Load(model.UpstreamID) (time.Duration, int)              { return 0, 1 }
+func (quiet) SetLimits(model.UpstreamID, int, int)                    {}
+func (quiet) Use(id model.UpstreamID) grants.Used                     { return grants.Used{Upstream: id} }
+
+func (quiet) FetchBundle(context.Context, model.InstanceID, string) ([]byte, error) {
+	return nil, errGone
+}
+
+// services joins the fake's objects and instances.
+type services struct {
+	platform.Objects
+	fake *platformfake.Platform
+}
+
+func (s services) Instances(ctx context.Context) ([]platform.Instance, error) {
+	return s.fake.Instances(ctx)
+}
+
+func testBundle() *bundle.Bundle {
+	configured := bundle.Group{ID: group, Database: "plugs", User: "dock"}
+	for i, id := range []model.UpstreamID{"a", "b", "c"} {
+		configured.Upstreams = append(configured.Upstreams, bundle.Upstream{
+			ID: id, Address: fmt.Sprintf("127.0.0.1:%d", i+1), DataCentre: "quay-east", Slots: 2, Connections: connections,
+		})
+	}
+	return &bundle.Bundle{Groups: []bundle.Group{configured}}
+}
+
+// apply puts the test's bundle in force in the table.
+func apply(ctx context.Context, fake *platformfake.Platform) {
+	GinkgoHelper()
+	data, _, err := bundle.Encode(testBundle())
+	Expect(err).NotTo(HaveOccurred())
+	digest, err := fake.Objects().Put(ctx, data)
+	Expect(err).NotTo(HaveOccurred())
+	head := &model.Head{
+		Revision: 1, Digest: digest,
+		Groups: []model.GroupHead{{ID: group, Generation: 1, Primary: "a", Timeline: 1}},
+	}
+	outcome, _ := headstore.New(fake, region).Write(ctx, "apply", 0, head)
+	Expect(outcome).To(Equal(failover.WriteApplied))
+}
+
+func start(fake *platformfake.Platform, servers *upstreams) *control.Loop {
+	loop, err := control.New(control.Config{
+		Self:           model.Member{ID: "i1", DataCentre: "quay-east", Address: "127.0.0.1:2"},
+		Failover:       failover.Config{PermitLifetime: 3 * time.Second, Drift: 200 * time.Millisecond, ReadInterval: 100 * time.Millisecond, DetectAfter: 200 * time.Millisecond},
+		Adoption:       adoption.DefaultOptions(),
+		ProbeInterval:  20 * time.Millisecond,
+		ProbeTimeout:   time.Second,
+		PromoteTimeout: time.Second,
+		Clock:          clock{time.Now()},
+		Store:          headstore.New(fake, region),
+		Platform:       services{fake.Objects(), fake},
+		Upstreams:      servers,
+		Peers:          quiet{},
+		Sessions:       quiet{},
+		Traffic:        quiet{},
+		Grants:         grantstore.New(fake),
+		Pools:          quiet{},
+		Logger:         slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	loop.Start()
+	DeferCleanup(loop.Close)
+	return loop
+}
+
+var _ = Describe("Loop", func() {
+	var loop *control.Loop
+	var fake *platformfake.Platform
+	var servers *upstreams
+
+	BeforeEach(func(ctx SpecContext) {
+		fake = platformfake.New()
+		servers = &upstreams{primary: "a", timeline: 1, lost: map[model.UpstreamID]bool{}}
+		apply(ctx, fake)
+		loop = start(fake, servers)
+	})
+
+	permitOf := func(generation model.Generation) func() bool {
+		return func() bool {
+			view, found := loop.Snapshot().View.Group(group)
+			return found && view.Generation == generation && !view.Sealed && view.PermitUntil > loop.Snapshot().At
+		}
+	}
+
+	It("registers, adopts the configuration and holds permits and connections", func() {
+		Eventually(permitOf(1), patience).Should(BeTrue())
+		Expect(loop.Snapshot().Ref.Revision).To(Equal(model.Revision(1)))
+		Expect(loop.Snapshot().View.Registered).To(BeTrue())
+		grant := func() int { return loop.Snapshot().Grants["a"] }
+		Eventually(grant, patience).Should(BeNumerically(">", 0))
+		Expect(grant()).To(BeNumerically("<", connections))
+	})
+
+	It("replaces a primary that is lost, also when the answer to the seal is", func() {
+		Eventually(permitOf(1), patience).Should(BeTrue())
+		Eventually(func() bool { return loop.Snapshot().View.Established }, patience).Should(BeTrue())
+		fake.LoseNext(platformfake.LoseAnswer)
+		servers.lose("a")
+		Eventually(permitOf(2), patience).Should(BeTrue())
+		view, _ := loop.Snapshot().View.Group(group)
+		Expect(view.Primary).NotTo(Equal(model.UpstreamID("a")))
+	})
+
+	It("gives up permits while the platform is down, and takes them again", func() {
+		Eventually(permitOf(1), patience).Should(BeTrue())
+		fake.SetDown(true)
+		Eventually(func() bool { return loop.Snapshot().View.PlatformReachable }, patience).Should(BeFalse())
+		fake.SetDown(false)
+		Eventually(permitOf(1), patience).Should(BeTrue())
+	})
+
+	It("removes its registration at the end of a graceful stop", func() {
+		Eventually(func() bool { return loop.Snapshot().View.Registered }, patience).Should(BeTrue())
+		loop.Leave()
+		Eventually(func() bool { return loop.Snapshot().Leaving }, patience).Should(BeTrue())
+		loop.Finish()
+		Eventually(func() bool { return loop.Snapshot().View.Registered }, patience).Should(BeFalse())
+	})
+})
