Lose no cancel request between a wait and its statement, and test many callers

A cancel request that came after a connection was found and before the statement was sent had no effect. The wait now ends where the statement is sent. The test runs callers that read, write, fail, cancel and vanish at random (fixed seeds) on three connections, and checks that each answer is that to its own request, that no transaction holds two callers' statements, and that all counters agree at the end.

--- a/pkg/transport/pgfront/cancel.go
+++ b/pkg/transport/pgfront/cancel.go
@@ -67,10 +67,18 @@
 	}
 }
 
-func (r *running) set(backend pgback.Backend) {
+// set ends the wait, where there was one, and lets cancel requests pass to
+// backend. It reports false, and sets nothing, when a cancel request came
+// during the wait.
+func (r *running) set(backend pgback.Backend) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting = false
+	if r.cancelled {
+		return false
+	}
 	r.backend = backend
-	r.mu.Unlock()
+	return true
 }
 
 // clear waits for a cancel request under way and reports whether one may
@@ -79,6 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.backend = nil
+	r.waiting = false
 	unsure := r.unsure
 	r.unsure = false
 	return unsure
--- a/pkg/transport/pgfront/exchange.go
+++ b/pkg/transport/pgfront/exchange.go
@@ -30,7 +30,9 @@
 	if err := u.backend.SetDeadline(u.ticket.Deadline); err != nil {
 		return s.lost(err)
 	}
-	s.running.set(u.backend)
+	if !s.running.set(u.backend) {
+		return &failure{Error: cancelledError(), final: true}
+	}
 	u.ticket.Sent = true
 	c := composer{session: s, unit: u, batch: b}
 	return c.run()
--- /dev/null
+++ b/pkg/transport/pgfront/mixed_test.go
@@ -0,0 +1,191 @@
+package pgfront_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/verdict"
+)
+
+const (
+	mixedCallers     = 12
+	mixedSteps       = 60
+	mixedConnections = 3
+)
+
+// mixedCaller runs a random sequence of what callers do, and checks that each
+// answer is that to its own request.
+type mixedCaller struct {
+	bench  *bench
+	random *rand.Rand
+	id     int
+	step   int
+	conn   *pgx.Conn
+}
+
+func (m *mixedCaller) run() {
+	defer GinkgoRecover()
+	for m.step = range mixedSteps {
+		m.connect()
+		m.act()
+	}
+	if m.conn != nil {
+		_ = m.conn.Close(context.Background())
+	}
+}
+
+func (m *mixedCaller) connect() {
+	if m.conn != nil && !m.conn.IsClosed() {
+		return
+	}
+	adjust := []func(*pgx.ConnConfig){nil, simpleProtocol}[m.random.IntN(2)]
+	conn, err := m.bench.dial(adjust)
+	Expect(err).NotTo(HaveOccurred())
+	m.conn = conn
+}
+
+// value is different for each step of each caller.
+func (m *mixedCaller) value() string { return fmt.Sprintf("c%ds%d", m.id, m.step) }
+
+func (m *mixedCaller) act() {
+	ctx := context.Background()
+	value := m.value()
+	switch m.random.IntN(10) {
+	case 0, 1, 2:
+		got, err := queryText(m.conn, "select "+value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(value))
+	case 3, 4:
+		m.transact(value)
+	case 5:
+		_, err := m.conn.Exec(ctx, "die "+value)
+		Expect(stateOf(err)).To(Equal("08007"))
+	case 6:
+		_, err := m.conn.Exec(ctx, "fail")
+		Expect(stateOf(err)).To(Equal("22012"))
+	case 7:
+		m.cancelled()
+	case 8:
+		m.vanish(value)
+	case 9:
+		m.readRows()
+	}
+}
+
+func (m *mixedCaller) transact(value string) {
+	ctx := context.Background()
+	tx, err := m.conn.Begin(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	for range m.random.IntN(3) + 1 {
+		_, err := tx.Exec(ctx, "insert "+value)
+		Expect(err).NotTo(HaveOccurred())
+		got := ""
+		Expect(tx.QueryRow(ctx, "select "+value).Scan(&got)).To(Succeed())
+		Expect(got).To(Equal(value))
+	}
+	Expect(tx.Commit(ctx)).To(Succeed())
+}
+
+// cancelled runs a statement with a cancel request that comes at any moment.
+func (m *mixedCaller) cancelled() {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := make(chan struct{})
+	pgConn := m.conn.PgConn()
+	go func() {
+		defer close(done)
+		// A request that comes before its statement has no effect. Each is
+		// waited for, so that none comes after it.
+		for ctx.Err() == nil {
+			_ = pgConn.CancelRequest(context.Background())
+		}
+	}()
+	_, err := m.conn.Exec(context.Background(), "select wait")
+	stop()
+	<-done
+	Expect(stateOf(err)).To(Equal("57014"))
+}
+
+// vanish leaves in the middle of a transaction or of an answer.
+func (m *mixedCaller) vanish(value string) {
+	ctx := context.Background()
+	_, err := m.conn.Exec(ctx, "begin")
+	Expect(err).NotTo(HaveOccurred())
+	_, err = m.conn.Exec(ctx, "insert "+value+"-lost")
+	Expect(err).NotTo(HaveOccurred())
+	if m.random.IntN(2) == 0 {
+		_, _ = m.conn.PgConn().Conn().Write(encode(query("select rows 3000")))
+	}
+	_ = m.conn.PgConn().Conn().Close()
+	m.conn = nil
+}
+
+func (m *mixedCaller) readRows() {
+	rows, err := m.conn.Query(context.Background(), "select rows 300")
+	Expect(err).NotTo(HaveOccurred())
+	count := 0
+	for rows.Next() {
+		count++
+	}
+	Expect(rows.Err()).NotTo(HaveOccurred())
+	Expect(count).To(Equal(300))
+}
+
+var _ = Describe("many callers at once", func() {
+	It("get the answers to their own requests, and leave nothing behind", func() {
+		b := newBench(mixedConnections, nil)
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			t.Deadline = time.Now().Add(time.Minute)
+			return nil
+		}
+		group := sync.WaitGroup{}
+		for id := range mixedCallers {
+			caller := &mixedCaller{bench: b, random: rand.New(rand.NewPCG(1, uint64(id))), id: id}
+			group.Go(caller.run)
+		}
+		group.Wait()
+		Eventually(b.engine.Open).Should(BeZero())
+		Eventually(b.server.Sessions).Should(BeZero())
+		expectBalance(b)
+		expectApart(b.upstream)
+	})
+})
+
+// expectBalance checks that the counters agree once nothing is in flight.
+func expectBalance(b *bench) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		stats := b.pools.Stats()[0]
+		return stats.Opened == stats.Closed+uint64(stats.Open) && stats.Open == stats.Idle
+	}).Should(BeTrue())
+	stats := b.server.Stats()
+	Expect(stats.Requests).To(Equal(stats.Answered + stats.Abandoned))
+	Expect(b.upstream.mostOpen()).To(BeNumerically("<=", mixedConnections))
+}
+
+// expectApart checks that within each transaction of the upstream's log there
+// are statements of one caller only, and that what vanished was not committed.
+func expectApart(u *upstream) {
+	GinkgoHelper()
+	for _, transaction := range u.transactions() {
+		owners := map[string]bool{}
+		for _, statement := range transaction.statements {
+			if value, found := strings.CutPrefix(statement, "insert "); found {
+				owners[value] = true
+			}
+		}
+		Expect(len(owners)).To(BeNumerically("<=", 1), "%v", transaction.statements)
+		if transaction.committed {
+			Expect(strings.Join(transaction.statements, ";")).NotTo(ContainSubstring("-lost"))
+		}
+	}
+}
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -79,13 +79,15 @@
 func (s *session) openUnit(b *batch, attempt int) *failure {
 	s.running.wait()
 	failed := s.admit(b, attempt)
-	if s.running.endWait() {
+	switch {
+	case failed != nil && s.running.endWait():
 		return &failure{Error: cancelledError(), final: true}
-	}
-	if failed == nil && s.isCallerGone(b) {
+	case failed != nil:
+		return failed
+	case s.isCallerGone(b):
 		return &failure{Error: callerGoneError(), final: true}
 	}
-	return failed
+	return nil
 }
 
 func cancelledError() *verdict.Error {
--- a/pkg/transport/pgfront/upstream_test.go
+++ b/pkg/transport/pgfront/upstream_test.go
@@ -28,6 +28,8 @@
 
 	mu       sync.Mutex
 	executed []string
+	done     []transaction
+	most     int
 	conns    map[uint32]*upstreamConn
 	nextPID  uint32
 	// onCancel, where set, delays a cancel request.
@@ -98,6 +100,26 @@
 	return own
 }
 
+// transaction is what one connection ran from a BEGIN to the end.
+type transaction struct {
+	statements []string
+	committed  bool
+}
+
+// transactions returns the transactions that have ended, committed or not.
+func (u *upstream) transactions() []transaction {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]transaction(nil), u.done...)
+}
+
+// mostOpen returns the highest number of connections so far.
+func (u *upstream) mostOpen() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.most
+}
+
 // open returns the number of connections.
 func (u *upstream) open() int {
 	u.mu.Lock()
@@ -124,7 +146,8 @@
 	cancel   chan struct{}
 	// busy is true while a statement runs; a cancel request of an idle
 	// connection has no effect.
-	busy atomic.Bool
+	busy    atomic.Bool
+	current transaction
 }
 
 func (c *upstreamConn) run() {
@@ -146,6 +169,7 @@
 	c.upstream.mu.Lock()
 	defer c.upstream.mu.Unlock()
 	delete(c.upstream.conns, c.pid)
+	c.upstream.done = append(c.upstream.done, c.current)
 }
 
 func (c *upstreamConn) login() bool {
@@ -166,6 +190,7 @@
 	u.nextPID++
 	c.pid = u.nextPID
 	u.conns[c.pid] = c
+	u.most = max(u.most, len(u.conns))
 	u.mu.Unlock()
 	c.wire.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: []byte{1, 2, 3, 4}})
 	return c.ready()
@@ -340,6 +365,9 @@
 	c.busy.Store(true)
 	defer c.busy.Store(false)
 	c.upstream.record(query)
+	if c.status != 'I' {
+		c.current.statements = append(c.current.statements, query)
+	}
 	words := strings.Fields(strings.ToLower(query) + " -")
 	if c.status == 'E' && words[0] != "rollback" && words[0] != "commit" {
 		return c.fail("25P02")
@@ -348,11 +376,13 @@
 	switch words[0] {
 	case "begin":
 		c.status = 'T'
+		c.current = transaction{statements: []string{query}}
 	case "commit", "rollback":
 		if c.status == 'E' {
 			tag = "ROLLBACK"
 		}
 		c.status = 'I'
+		c.endTransaction(tag == "COMMIT")
 	case "insert":
 		tag = "INSERT 0 1"
 		c.upstream.lsn.Add(0x10)
@@ -381,6 +411,14 @@
 	return true
 }
 
+func (c *upstreamConn) endTransaction(committed bool) {
+	c.upstream.mu.Lock()
+	defer c.upstream.mu.Unlock()
+	c.current.committed = committed
+	c.upstream.done = append(c.upstream.done, c.current)
+	c.current = transaction{}
+}
+
 func (c *upstreamConn) row(value string) {
 	c.wire.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 }
