Never say not run after an earlier try of the same read was sent

A read whose upstream was lost is tried again; when the engine refused the second try, its not run reached the caller although the first try had been sent. The first failure is now reported. Engines can also free a unit's slot before its acknowledgement (traffic.Answered, optional).

--- a/pkg/coordination/traffic/traffic.go
+++ b/pkg/coordination/traffic/traffic.go
@@ -66,6 +66,14 @@
 	Latency time.Duration
 }
 
+// Answered is implemented by engines that give a unit's slot to others once the
+// upstream has answered it, while MayAcknowledge is still to come.
+type Answered interface {
+	// Answered tells that t's upstream has finished the unit and its
+	// connection is free. Done is called later all the same.
+	Answered(t *Ticket)
+}
+
 // Engine decides on units of work. Its methods are safe for concurrent use.
 type Engine interface {
 	// Admit picks the upstream for s and waits for a slot, within the route's
--- a/pkg/transport/pgfront/complete.go
+++ b/pkg/transport/pgfront/complete.go
@@ -28,6 +28,7 @@
 		// The connection is free for others while the engine decides.
 		u.backend.Release(reuse)
 		u.backend = nil
+		s.server.answered(u.ticket)
 	}
 	s.answerHeld()
 	u.x.reset()
@@ -40,6 +41,13 @@
 	s.finishComplete(ended, reuse)
 }
 
+// answered lets an engine that can do so use the unit's slot again.
+func (s *Server) answered(t *traffic.Ticket) {
+	if engine, ok := s.config.Engine.(traffic.Answered); ok {
+		engine.Answered(t)
+	}
+}
+
 func (s *session) finishComplete(ended bool, reuse pgback.Reuse) {
 	if !ended {
 		s.finishRequest()
--- a/pkg/transport/pgfront/run.go
+++ b/pkg/transport/pgfront/run.go
@@ -67,19 +67,24 @@
 	}
 }
 
-// try carries out b, and again where that can't run anything twice.
+// try carries out b, and again where that can't run anything twice. A failure
+// is reported as not run only if no try can have run anything.
 func (s *session) try(b *batch) *failure {
 	isFresh := s.unit == nil
 	begin := s.begin
 	before := s.output.mark()
+	ran := (*failure)(nil)
 	for attempt := 0; ; attempt++ {
 		failed := s.attempt(b, attempt)
 		if failed == nil {
 			return nil
 		}
+		if failed.Outcome != verdict.NotRun {
+			ran = failed
+		}
 		mayRepeat := isFresh && !failed.final && attempt+1 < maxAttempts
 		if !mayRepeat || !s.isRepeatable(failed.Error, before) {
-			return failed
+			return worse(ran, failed)
 		}
 		s.server.counters.retried.Add(1)
 		s.begin = begin
@@ -90,6 +95,15 @@
 	}
 }
 
+// worse returns ran where there is one, since the last failure speaks of its
+// own try only.
+func worse(ran, last *failure) *failure {
+	if ran == nil {
+		return last
+	}
+	return ran
+}
+
 func (s *session) attempt(b *batch, attempt int) *failure {
 	if s.unit == nil {
 		if failed := s.openUnit(b, attempt); failed != nil {
--- a/pkg/transport/pgfront/verdict_test.go
+++ b/pkg/transport/pgfront/verdict_test.go
@@ -48,6 +48,18 @@
 		Expect(b.upstream.log()).To(Equal([]string{"select die", "select die", "select die"}))
 	})
 
+	It("is never not run after a first try was sent", func() {
+		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
+			if t.Statement.Attempt == 0 {
+				return nil
+			}
+			return verdict.New(verdict.Overloaded, verdict.NotRun, "too many retries")
+		}
+		conn := b.connect(simpleProtocol)
+		_, err := conn.Exec(ctx, "select die")
+		Expect(stateOf(err)).To(Equal("08007"))
+	})
+
 	It("is one try for a read that may run at most once", func() {
 		b.engine.OnAdmit = func(t *traffic.Ticket) *verdict.Error {
 			t.Route = &bundle.Route{AtMostOnce: true}
