Count a closed connection in the test's database as PostgreSQL does

Once in 13 runs the test of the limit saw three connections where two were allowed. The database of the test closed the socket before it counted the connection out, so the pool, told of the end, opened the next one in between.

--- a/pkg/transport/pgback/pgback_test.go
+++ b/pkg/transport/pgback/pgback_test.go
@@ -74,8 +74,9 @@
 }
 
 func (d *database) run(connection net.Conn) {
-	defer d.count(-1)
+	// As in PostgreSQL, the place is free before the other side sees the end.
 	defer connection.Close()
+	defer d.count(-1)
 	wire := pgproto3.NewBackend(connection, connection)
 	if _, err := wire.ReceiveStartupMessage(); err != nil {
 		return
