--- /dev/null
+++ b/pkg/protocol/pgwire/begin.go
@@ -0,0 +1,67 @@
+package pgwire
+
+type beginOptions struct {
+	readOnly bool
+}
+
+// parseBegin accepts the words of a well-formed BEGIN or START TRANSACTION.
+func parseBegin(words []string) (beginOptions, bool) {
+	options := beginOptions{}
+	rest := words[1:]
+	switch {
+	case words[0] == "start":
+		if len(rest) == 0 || rest[0] != "transaction" {
+			return options, false
+		}
+		rest = rest[1:]
+	case len(rest) > 0 && (rest[0] == "work" || rest[0] == "transaction"):
+		rest = rest[1:]
+	}
+	for len(rest) > 0 {
+		used := beginMode(rest, &options)
+		if used == 0 {
+			return options, false
+		}
+		rest = rest[used:]
+	}
+	return options, true
+}
+
+// beginModes are the transaction modes of BEGIN.
+var beginModes = [][]string{
+	{"isolation", "level", "serializable"},
+	{"isolation", "level", "repeatable", "read"},
+	{"isolation", "level", "read", "committed"},
+	{"isolation", "level", "read", "uncommitted"},
+	{"read", "write"},
+	{"read", "only"},
+	{"not", "deferrable"},
+	{"deferrable"},
+}
+
+// beginMode returns the number of words of the mode at the start of words, or
+// zero.
+func beginMode(words []string, options *beginOptions) int {
+	for _, mode := range beginModes {
+		if !hasPrefix(words, mode) {
+			continue
+		}
+		if mode[0] == "read" {
+			options.readOnly = mode[1] == "only"
+		}
+		return len(mode)
+	}
+	return 0
+}
+
+func hasPrefix(words, prefix []string) bool {
+	if len(words) < len(prefix) {
+		return false
+	}
+	for i := range prefix {
+		if words[i] != prefix[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/transport/pgfront/server.go
+++ b/pkg/transport/pgfront/server.go
@@ -14,6 +14,10 @@
 	"gypsumdock/pkg/verdict"
 )
 
+// stopStartup is the time that connections without a session have once the
+// server is stopping.
+const stopStartup = time.Second
+
 // acceptPause is the wait after a failure to accept, such as one for want of
 // descriptors.
 const acceptPause = 10 * time.Millisecond
@@ -31,6 +35,8 @@
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
+	// starting are the connections that have no session yet.
+	starting map[net.Conn]struct{}
 	perName  map[model.CallerName]int
 	open     int
 	nextID   uint32
@@ -57,6 +63,7 @@
 		base:       base,
 		stopBase:   stop,
 		sessions:   make(map[uint32]*session),
+		starting:   make(map[net.Conn]struct{}),
 		perName:    make(map[model.CallerName]int),
 		empty:      make(chan struct{}),
 	}, nil
@@ -90,6 +97,9 @@
 	for _, session := range s.sessions {
 		_ = session.conn.Close()
 	}
+	for connection := range s.starting {
+		_ = connection.Close()
+	}
 }
 
 // accept starts the service of a connection.
@@ -98,12 +108,27 @@
 	s.mu.Lock()
 	s.open++
 	full := s.open > s.config.MaxSessions
+	s.starting[connection] = struct{}{}
+	err := connection.SetDeadline(time.Now().Add(s.startupTimeout()))
 	s.mu.Unlock()
+	if err != nil {
+		_ = connection.Close()
+	}
 	go s.serveConn(connection, full)
 }
 
+func (s *Server) startupTimeout() time.Duration {
+	if s.stopping.Load() {
+		return stopStartup
+	}
+	return s.config.StartupTimeout
+}
+
 func (s *Server) serveConn(connection net.Conn, full bool) {
 	established := s.startup(connection, full)
+	s.mu.Lock()
+	delete(s.starting, connection)
+	s.mu.Unlock()
 	if established == nil {
 		s.endConn(connection)
 		return
@@ -206,6 +231,9 @@
 	for _, session := range s.sessions {
 		session.input.wake()
 	}
+	for connection := range s.starting {
+		_ = connection.SetDeadline(time.Now().Add(stopStartup))
+	}
 	s.signalEmpty()
 }
 
--- a/pkg/transport/pgfront/startup.go
+++ b/pkg/transport/pgfront/startup.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"crypto/tls"
 	"io"
 	"net"
@@ -13,7 +12,6 @@
 
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/pgwire"
-	"gypsumdock/pkg/protocol/scramauth"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/verdict"
@@ -36,12 +34,10 @@
 	secure bool
 }
 
-// startup brings connection to the state of an idle session. It returns nil
-// when the connection is to be closed.
+// startup brings connection to the state of an idle session, within the
+// deadline that the connection has. It returns nil when the connection is to
+// be closed.
 func (s *Server) startup(connection net.Conn, full bool) *session {
-	if err := connection.SetDeadline(time.Now().Add(s.config.StartupTimeout)); err != nil {
-		return nil
-	}
 	g := &greeter{server: s, conn: connection}
 	message, err := g.receive()
 	if err != nil {
@@ -191,91 +187,6 @@
 	return nil
 }
 
-// authenticate runs the SCRAM exchange. A caller that is not known gets the
-// same messages as one with a wrong password.
-func (g *greeter) authenticate(s *session, user string, caller *bundle.Caller) *verdict.Error {
-	failed := verdict.New(verdict.AuthFailed, verdict.NotRun, "password authentication failed")
-	exchange, err := scramauth.NewExchange(user, caller.Verifier, g.server.mockKey())
-	if err != nil {
-		return failed.WithCause(err)
-	}
-	s.reader.SetMaxBodyLen(maxAuthMessage)
-	if err := g.exchange(s, exchange); err != nil {
-		return failed.WithCause(err)
-	}
-	s.reader.SetMaxBodyLen(g.server.config.MaxMessage)
-	return nil
-}
-
-func (g *greeter) exchange(s *session, exchange *scramauth.Exchange) error {
-	s.output.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramauth.Mechanism}})
-	initial := &pgproto3.SASLInitialResponse{}
-	if err := s.receiveAuth(pgproto3.AuthTypeSASL, initial); err != nil {
-		return err
-	}
-	if initial.AuthMechanism != scramauth.Mechanism {
-		return errors.New("unknown mechanism")
-	}
-	answer, err := exchange.First(string(initial.Data))
-	if err != nil {
-		return err
-	}
-	s.output.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
-	final := &pgproto3.SASLResponse{}
-	if err := s.receiveAuth(pgproto3.AuthTypeSASLContinue, final); err != nil {
-		return err
-	}
-	answer, err = exchange.Final(string(final.Data))
-	if err != nil {
-		return err
-	}
-	s.output.send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
-	s.output.send(&pgproto3.AuthenticationOk{})
-	return nil
-}
-
-// receiveAuth flushes and reads the next message of the authentication into
-// into, which is a *SASLInitialResponse or a *SASLResponse.
-func (s *session) receiveAuth(kind uint32, into pgproto3.FrontendMessage) error {
-	if err := s.output.flush(); err != nil {
-		return err
-	}
-	if err := s.reader.SetAuthType(kind); err != nil {
-		return err
-	}
-	message, err := s.reader.Receive()
-	if err != nil {
-		return err
-	}
-	switch message := message.(type) {
-	case *pgproto3.SASLInitialResponse:
-		if initial, ok := into.(*pgproto3.SASLInitialResponse); ok {
-			*initial = *message
-			return nil
-		}
-	case *pgproto3.SASLResponse:
-		if final, ok := into.(*pgproto3.SASLResponse); ok {
-			*final = *message
-			return nil
-		}
-	}
-	return errors.New("unexpected message")
-}
-
-// mockKey is derived from the bundle's verifiers, so that every instance shows
-// an unknown caller the same salt.
-func (s *Server) mockKey() []byte {
-	callers := s.config.Engine.Bundle().Callers
-	if len(callers) == 0 {
-		return s.mockSecret
-	}
-	sum := sha256.New()
-	for i := range callers {
-		_, _ = io.WriteString(sum, callers[i].Verifier)
-	}
-	return sum.Sum(nil)
-}
-
 // establish checks the database, registers the session and tells the caller
 // that it may send queries.
 func (g *greeter) establish(
--- a/pkg/transport/pgfront/startup_test.go
+++ b/pkg/transport/pgfront/startup_test.go
@@ -118,6 +118,15 @@
 })
 
 var _ = Describe("Shutdown", func() {
+	It("does not wait long for a connection that sends nothing", func() {
+		b := newBench(1, nil)
+		silent, err := net.Dial("tcp", b.address)
+		Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		Eventually(func() uint64 { return b.server.Stats().Accepted }).Should(BeEquivalentTo(1))
+		Expect(b.server.Shutdown(context.Background())).To(Succeed())
+	})
+
 	It("ends idle sessions, refuses new ones and cuts nothing in flight", func() {
 		b := newBench(2, nil)
 		ctx := context.Background()
