--- a/pkg/transport/pgfront/upstream_test.go
+++ b/pkg/transport/pgfront/upstream_test.go
@@ -1,13 +1,11 @@
 package pgfront_test
 
 import (
-	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -28,6 +26,8 @@
 
 	mu       sync.Mutex
 	executed []string
+	done     []transaction
+	most     int
 	conns    map[uint32]*upstreamConn
 	nextPID  uint32
 	// onCancel, where set, delays a cancel request.
@@ -98,6 +98,26 @@
 	return own
 }
 
+// transaction is what one connection ran from a BEGIN to the end.
+type transaction struct {
+	statements []string
+	committed  bool
+}
+
+// transactions returns the transactions that have ended, committed or not.
+func (u *upstream) transactions() []transaction {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]transaction(nil), u.done...)
+}
+
+// mostOpen returns the highest number of connections so far.
+func (u *upstream) mostOpen() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.most
+}
+
 // open returns the number of connections.
 func (u *upstream) open() int {
 	u.mu.Lock()
@@ -124,7 +144,8 @@
 	cancel   chan struct{}
 	// busy is true while a statement runs; a cancel request of an idle
 	// connection has no effect.
-	busy atomic.Bool
+	busy    atomic.Bool
+	current transaction
 }
 
 func (c *upstreamConn) run() {
@@ -146,6 +167,7 @@
 	c.upstream.mu.Lock()
 	defer c.upstream.mu.Unlock()
 	delete(c.upstream.conns, c.pid)
+	c.upstream.done = append(c.upstream.done, c.current)
 }
 
 func (c *upstreamConn) login() bool {
@@ -166,6 +188,7 @@
 	u.nextPID++
 	c.pid = u.nextPID
 	u.conns[c.pid] = c
+	u.most = max(u.most, len(u.conns))
 	u.mu.Unlock()
 	c.wire.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: []byte{1, 2, 3, 4}})
 	return c.ready()
@@ -293,135 +316,3 @@
 	}
 	c.wire.Send(rowDescription)
 }
-
-const textOID = 25
-
-var rowDescription = &pgproto3.RowDescription{
-	Fields: []pgproto3.FieldDescription{{Name: []byte("value"), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}},
-}
-
-func hasRows(query string) bool {
-	lower := strings.ToLower(query)
-	return strings.HasPrefix(lower, "select") || strings.HasPrefix(lower, "show") || strings.Contains(lower, "returning")
-}
-
-func (c *upstreamConn) query(text string) bool {
-	for statement := range strings.SplitSeq(text, ";") {
-		statement = strings.TrimSpace(statement)
-		if statement == "" {
-			continue
-		}
-		if hasRows(statement) {
-			c.wire.Send(rowDescription)
-		}
-		if !c.execute(statement) {
-			return false
-		}
-		if c.skipping {
-			break
-		}
-	}
-	c.skipping = false
-	return c.ready()
-}
-
-// fail reports an error; what follows up to a Sync is skipped.
-func (c *upstreamConn) fail(state string) bool {
-	c.wire.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: state, Message: "scripted failure"})
-	if c.status == 'T' {
-		c.status = 'E'
-	}
-	c.skipping = true
-	return true
-}
-
-// execute runs one statement and reports whether the connection goes on.
-func (c *upstreamConn) execute(query string) bool {
-	c.busy.Store(true)
-	defer c.busy.Store(false)
-	c.upstream.record(query)
-	words := strings.Fields(strings.ToLower(query) + " -")
-	if c.status == 'E' && words[0] != "rollback" && words[0] != "commit" {
-		return c.fail("25P02")
-	}
-	tag := strings.ToUpper(words[0])
-	switch words[0] {
-	case "begin":
-		c.status = 'T'
-	case "commit", "rollback":
-		if c.status == 'E' {
-			tag = "ROLLBACK"
-		}
-		c.status = 'I'
-	case "insert":
-		tag = "INSERT 0 1"
-		c.upstream.lsn.Add(0x10)
-		if hasRows(query) {
-			c.row("new")
-		}
-	case "set":
-		c.setting = query
-	case "deallocate":
-		tag = "DEALLOCATE ALL"
-		clear(c.prepared)
-	case "discard":
-		tag = "DISCARD ALL"
-		c.setting = ""
-		clear(c.prepared)
-	case "fail":
-		return c.fail("22012")
-	case "select", "show":
-		return c.selectRows(words)
-	case "die":
-		return false
-	case "refused":
-		return c.fail("42601")
-	}
-	c.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
-	return true
-}
-
-func (c *upstreamConn) row(value string) {
-	c.wire.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
-}
-
-func (c *upstreamConn) selectRows(words []string) bool {
-	rows := 1
-	value := words[1]
-	switch value {
-	case "pg_current_wal_lsn()":
-		value = fmt.Sprintf("0/%X", c.upstream.lsn.Load())
-	case "setting":
-		value = c.setting
-	case "rows", "half":
-		rows, _ = strconv.Atoi(words[2])
-		value = strings.Repeat("x", 100)
-	case "wait":
-		c.wire.Flush()
-		select {
-		case <-c.cancel:
-			return c.fail("57014")
-		case <-time.After(upstreamWait):
-		}
-	case "pause":
-		c.upstream.inPause.Store(true)
-		<-c.upstream.hold
-	case "die":
-		return false
-	}
-	for i := range rows {
-		c.row(value)
-		if i%100 == 99 && c.wire.Flush() != nil {
-			return false
-		}
-	}
-	if words[1] == "half" {
-		_ = c.wire.Flush()
-		return false
-	}
-	c.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT " + strconv.Itoa(rows))})
-	return true
-}
-
-// upstreamWait bounds "select wait" where no cancel request comes.
-const upstreamWait = 20 * time.Second
