--- a/testbench/replay/replay.go
+++ b/testbench/replay/replay.go
@@ -88,7 +88,10 @@
 			continue
 		}
 		p.faults.Go(func() error {
-			return errors.Wrapf(p.fault(ctx, event), "%s at %d ms", event.Do, event.AtMS)
+			if err := p.fault(ctx, event); err != nil {
+				return errors.Wrapf(err, "%s at %d ms", event.Do, event.AtMS)
+			}
+			return nil
 		})
 	}
 	return nil
