--- a/testbench/load/config.go
+++ b/testbench/load/config.go
@@ -64,7 +64,7 @@
 		Policy:    caller.DefaultPolicy(),
 		Seed:      1,
 		Rate:      200,
-		Warmup:    2 * time.Second,
+		Warmup:    8 * time.Second,
 		Duration:  10 * time.Second,
 		Sessions:  16,
 		Mix:       Mix{Write: 15, Once: 5, Fresh: 30, Aged: 50},
