--- a/pkg/protocol/pgwire/classify.go
+++ b/pkg/protocol/pgwire/classify.go
@@ -4,7 +4,8 @@
 
 // Class is what is known of the text of a query.
 type Class struct {
-	// Keyword is the first keyword in lower case; empty for an empty query.
+	// Keyword is the first keyword, in lower case where the classifier knows it;
+	// empty for an empty query.
 	Keyword string
 	// ReadOnly is true when the text is known to write nothing.
 	ReadOnly bool
@@ -28,6 +29,9 @@
 	// ChangesMode is true when the text may turn a read-only transaction into
 	// one that writes.
 	ChangesMode bool
+	// Deallocates is the statement that a single DEALLOCATE names; empty for
+	// other texts and for DEALLOCATE ALL.
+	Deallocates string
 	// Unsupported names a feature that the proxy refuses; empty when none.
 	Unsupported string
 	// Tags are the sqlcommenter keys.
@@ -84,6 +88,7 @@
 func (c *classifier) add(t token) {
 	if t.kind == tokenPunct && t.text == ";" {
 		c.first = ""
+		c.beforeThat = c.previous
 		c.previous = t
 		return
 	}
@@ -92,7 +97,7 @@
 	}
 	switch {
 	case t.kind == tokenWord:
-		c.addWord(strings.ToLower(t.text))
+		c.addWord(fold(t.text))
 	case t.kind == tokenPunct && t.text == "(":
 		c.addParenthesis()
 	}
@@ -102,9 +107,9 @@
 
 func (c *classifier) startStatement(t token) {
 	c.statements++
-	c.first = strings.ToLower(t.text)
-	if t.kind != tokenWord {
-		c.first = t.text
+	c.first = t.text
+	if t.kind == tokenWord {
+		c.first = fold(t.text)
 	}
 	if c.statements == 1 {
 		c.class.Keyword = c.first
@@ -179,7 +184,7 @@
 		return
 	}
 	isQualified := c.beforeThat.kind == tokenPunct && c.beforeThat.text == "."
-	if isQualified || !pureFunctions.has(strings.ToLower(c.previous.text)) {
+	if isQualified || !pureFunctions.has(fold(c.previous.text)) {
 		c.callsOther = true
 	}
 }
@@ -214,9 +219,27 @@
 		c.finishSet(class)
 	case "commit", "end", "rollback", "abort":
 		class.PlainEnd = isPlainEnd(c.words)
+	case "deallocate":
+		class.Deallocates = c.lastName()
 	}
 }
 
+// lastName returns the name that ends the statement, unless it is ALL.
+func (c *classifier) lastName() string {
+	last := c.previous
+	if last.kind == tokenPunct && last.text == ";" {
+		last = c.beforeThat
+	}
+	switch {
+	case last.kind == tokenQuoted:
+		name := strings.TrimSuffix(strings.TrimPrefix(last.text, "\""), "\"")
+		return strings.ReplaceAll(name, "\"\"", "\"")
+	case last.kind == tokenWord && fold(last.text) != "all":
+		return strings.ToLower(last.text)
+	}
+	return ""
+}
+
 func isPlainEnd(words []string) bool {
 	if len(words) == 2 {
 		return words[1] == "work" || words[1] == "transaction"
--- a/pkg/transport/pgfront/session.go
+++ b/pkg/transport/pgfront/session.go
@@ -48,6 +48,8 @@
 	// skipping is true after an error until the next Sync.
 	skipping bool
 
+	// span is the context of the request in progress.
+	span context.Context
 	// unit is the unit of work in progress; nil when none is.
 	unit *unit
 	// begin is a BEGIN that was answered and is sent with the next statement.
@@ -169,7 +171,7 @@
 	switch message := message.(type) {
 	case *pgproto3.Query:
 		if !s.skipping {
-			s.simple(message.String)
+			s.simple(message)
 		}
 	case *pgproto3.FunctionCall:
 		if !s.skipping {
@@ -205,6 +207,7 @@
 
 // leave gives back what the session holds.
 func (s *session) leave() {
+	s.running.release()
 	if s.batch != nil {
 		s.batch.release()
 		s.batch = nil
--- a/pkg/transport/pgfront/simple.go
+++ b/pkg/transport/pgfront/simple.go
@@ -14,11 +14,11 @@
 const refusedQuery = "refused"
 
 // simple carries out a Query message.
-func (s *session) simple(text string) {
+func (s *session) simple(message *pgproto3.Query) {
 	s.server.counters.requests.Add(1)
 	s.dropBatch()
 	s.unnamed = nil
-	class := pgwire.Classify(text)
+	class := pgwire.Classify(message.String)
 	switch {
 	case class.Empty():
 		s.answerLocally(&pgproto3.EmptyQueryResponse{})
@@ -26,17 +26,30 @@
 		s.simpleInFailed(&class)
 	case class.Unsupported != "":
 		s.refuseQuery(unsupported(class.Unsupported))
+	case s.deallocates(&class):
+		s.answerLocally(&pgproto3.CommandComplete{CommandTag: []byte("DEALLOCATE")})
 	case class.Begins && s.unit == nil && s.begin == nil:
-		s.begin = &pendingBegin{text: text, readOnly: class.ReadOnly, tags: class.Tags, arrived: time.Now()}
+		s.begin = &pendingBegin{text: message.String, readOnly: class.ReadOnly, tags: class.Tags, arrived: time.Now()}
 		s.answerLocally(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
 	case s.begin != nil && class.PlainEnd:
 		s.begin = nil
 		s.answerLocally(endTag(class.Commits))
 	default:
-		s.runQuery(text, &class)
+		s.runQuery(message, &class)
 	}
 }
 
+// deallocates drops the prepared statement that a DEALLOCATE names, and reports
+// whether there was one. Upstreams know it by another name.
+func (s *session) deallocates(class *pgwire.Class) bool {
+	name := class.Deallocates
+	if name == "" || s.statements[name] == nil || s.status() == statusFailed {
+		return false
+	}
+	delete(s.statements, name)
+	return true
+}
+
 func endTag(commits bool) *pgproto3.CommandComplete {
 	if commits {
 		return &pgproto3.CommandComplete{CommandTag: []byte("COMMIT")}
@@ -105,11 +118,11 @@
 		"the transaction is aborted, commands are ignored until its end")
 }
 
-func (s *session) runQuery(text string, class *pgwire.Class) {
+func (s *session) runQuery(message *pgproto3.Query, class *pgwire.Class) {
 	b := newBatch()
 	b.complete = true
 	b.note(class)
-	s.mustAdd(b, entry{kind: entryQuery}, &pgproto3.Query{String: text})
+	s.mustAdd(b, entry{kind: entryQuery}, message)
 	s.runBatch(b)
 }
 
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gypsumdock/pkg/coordination/traffic"
+	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/pgback"
 	"gypsumdock/pkg/verdict"
@@ -38,9 +40,30 @@
 	unnamed *statement
 	// latency is the time spent on the upstream so far.
 	latency time.Duration
+	// passage is what is sent of the batch's buffer next.
+	passage pgwire.Encoded
 	x       exchange
 }
 
+var units = sync.Pool{New: func() any { return &unit{} }}
+
+func newUnit(ticket *traffic.Ticket, backend pgback.Backend) *unit {
+	u := units.Get().(*unit)
+	u.ticket = ticket
+	u.backend = backend
+	u.status = statusIdle
+	u.readOnly = ticket.Statement.ReadOnly || ticket.Route.ReadOnly
+	return u
+}
+
+// release gives the unit back; it must not be used afterwards.
+func (u *unit) release() {
+	u.x.reset()
+	kept := u.x
+	*u = unit{x: kept}
+	units.Put(u)
+}
+
 // writes reports whether the unit's commit needs the engine's consent.
 func (u *unit) writes() bool { return u.ticket.Primary && !u.readOnly }
 
@@ -54,11 +77,8 @@
 // openUnit asks for a ticket and a connection for b. s.unit is set when it
 // succeeds.
 func (s *session) openUnit(b *batch, attempt int) *failure {
-	ctx, end := s.startSpan(b)
-	defer end()
-	ctx, stop := context.WithCancel(ctx)
-	s.running.wait(stop)
-	failed := s.admit(ctx, b, attempt)
+	s.running.wait()
+	failed := s.admit(b, attempt)
 	if s.running.endWait() {
 		return &failure{Error: cancelledError(), final: true}
 	}
@@ -85,34 +105,38 @@
 	return time.Since(b.arrived) >= longWait && hasEnded(s.conn)
 }
 
-func (s *session) admit(ctx context.Context, b *batch, attempt int) *failure {
+func (s *session) admit(b *batch, attempt int) *failure {
+	ctx, end := s.startHop("admission")
 	ticket, refused := s.server.config.Engine.Admit(ctx, s.describe(b, attempt))
+	end()
 	if refused != nil {
 		return &failure{Error: refused, final: true}
 	}
-	ctx, endAcquire := s.server.config.Tracer.Start(ctx, "upstream.acquire")
-	defer endAcquire()
+	ctx, end = s.startHop("upstream.acquire")
 	backend, refused := s.server.config.Backends.Acquire(ctx, ticket)
+	end()
 	if refused != nil {
 		s.server.config.Engine.Done(ticket, traffic.Result{Outcome: verdict.NotRun, Broken: isLost(refused)})
 		return &failure{Error: refused, final: !isLost(refused)}
 	}
-	s.unit = &unit{
-		ticket:   ticket,
-		backend:  backend,
-		status:   statusIdle,
-		readOnly: ticket.Statement.ReadOnly || ticket.Route.ReadOnly,
-	}
+	s.unit = newUnit(ticket, backend)
 	return nil
 }
 
-func (s *session) startSpan(b *batch) (context.Context, func()) {
+// startSpan starts the span of a request, under which its hops stand.
+func (s *session) startSpan(b *batch) (end func()) {
 	tracer := s.server.config.Tracer
-	ctx := s.context()
+	ctx := s.running.context(s.context())
 	if b.tags.Traceparent != "" {
 		ctx = tracer.Join(ctx, b.tags.Traceparent)
 	}
-	return tracer.Start(ctx, "caller.admit")
+	s.span, end = tracer.Start(ctx, "caller")
+	return end
+}
+
+// startHop starts the span of a part of the request.
+func (s *session) startHop(name string) (context.Context, func()) {
+	return s.server.config.Tracer.Start(s.span, name)
 }
 
 // describe returns what the engine is told of the unit that starts with b.
@@ -174,6 +198,7 @@
 		dropBackend(u.backend, u.x.isOpen() && !broken)
 	}
 	s.server.config.Engine.Done(u.ticket, traffic.Result{Outcome: outcome, Broken: broken, Latency: u.latency})
+	u.release()
 }
 
 func dropBackend(backend pgback.Backend, isRunning bool) {
@@ -244,7 +269,22 @@
 	}
 }
 
+// Sizes up to which the buffers of an exchange are kept.
+const (
+	keepPending = 32 // answers
+	keepHeld    = 4 << 10
+)
+
 // reset makes the exchange ready for the next request.
 func (x *exchange) reset() {
-	*x = exchange{pending: x.pending[:0]}
+	pending := x.pending[:cap(x.pending)]
+	if len(pending) > keepPending {
+		pending = nil
+	}
+	clear(pending)
+	held := x.held
+	if cap(held) > keepHeld {
+		held = nil
+	}
+	*x = exchange{pending: pending[:0], held: held[:0]}
 }
