--- a/testbench/cluster/process.go
+++ b/testbench/cluster/process.go
@@ -90,6 +90,9 @@
 	return json.Unmarshal(line, into)
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal.
 func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
 
