--- /dev/null
+++ b/pkg/state/grants/bench_test.go
@@ -0,0 +1,37 @@
+package grants_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gypsumdock/pkg/state/grants"
+	"gypsumdock/pkg/state/model"
+)
+
+// BenchmarkTick is a tick of a machine that holds a grant of each upstream.
+func BenchmarkTick(b *testing.B) {
+	for _, upstreams := range []int{9, 100, 417, 1000, 2499} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			machine := grants.New(grants.DefaultConfig("i0"))
+			specs := grants.UpstreamsAdopted{}
+			for u := range upstreams {
+				id := model.UpstreamID(fmt.Sprintf("u%04d", u))
+				specs.Upstreams = append(specs.Upstreams, grants.Spec{ID: id, Connections: 16, Reserve: 5})
+			}
+			machine.Handle(0, specs)
+			confirmed := grants.Confirmed{Version: 1, Members: []model.InstanceID{"i0"}}
+			machine.Handle(0, confirmed)
+			for _, spec := range specs.Upstreams {
+				row := grants.RowRead{Upstream: spec.ID, Version: 1, Row: &grants.Row{}}
+				machine.Handle(0, row)
+			}
+			now := time.Second
+			for b.Loop() {
+				now += time.Microsecond
+				confirmed.AskedAt = now
+				machine.Handle(now, confirmed)
+			}
+		})
+	}
+}
