Apply the limits of an upstream on its own report only

Each report of an upstream's use set the limits of all upstreams, and each limit is found by a search through all: the cost of a round grew with the cube of the upstreams. A report changes its own upstream's plan only, so its limits are applied right after it, in the same order as before; all other events still apply all limits.

--- a/pkg/coordination/control/grants.go
+++ b/pkg/coordination/control/grants.go
@@ -72,7 +72,8 @@
 	g.handle(event)
 }
 
-// tick reports the use of all upstreams.
+// tick reports the use of all upstreams. A report changes the limits of its
+// own upstream only.
 func (g *granting) tick() {
 	g.handle(grants.Tick{})
 	for id := range g.limits {
@@ -81,22 +82,33 @@
 			used.Waiting = max(used.Waiting, 1)
 		}
 		g.limits[id] = Limits{Open: g.limits[id].Open, Keep: math.MaxInt}
-		g.handle(used)
+		g.feed(used)
+		g.limit(id)
 	}
 }
 
-// handle feeds the machine, carries out its actions and applies the limits.
+// handle feeds the machine, carries out its actions and applies all limits.
 func (g *granting) handle(event grants.Event) {
+	g.feed(event)
+	for id := range g.limits {
+		g.limit(id)
+	}
+}
+
+// feed feeds the machine and carries out its actions.
+func (g *granting) feed(event grants.Event) {
 	for _, action := range g.machine.Handle(g.loop.now(), event) {
 		g.carryOut(action)
 	}
-	now := g.loop.now()
-	for id, limits := range g.limits {
-		limits.Open = g.machine.Limit(now, id)
-		limits.Keep = max(limits.Keep, limits.Open)
-		g.limits[id] = limits
-		g.loop.config.Pools.SetLimits(id, limits.Open, limits.Keep)
-	}
+}
+
+// limit applies the limits of an upstream.
+func (g *granting) limit(id model.UpstreamID) {
+	limits := g.limits[id]
+	limits.Open = g.machine.Limit(g.loop.now(), id)
+	limits.Keep = max(limits.Keep, limits.Open)
+	g.limits[id] = limits
+	g.loop.config.Pools.SetLimits(id, limits.Open, limits.Keep)
 }
 
 func (g *granting) carryOut(action grants.Action) {
