Publish a peer's heartbeat with the next tick

Each peer says twice a second which primaries it reaches. Results of probes were left as they are: a replica's position may be taken only on a view that knows the same probe.

go test ./pkg/coordination/control -run xxx -bench Input/groups/members/Observed, before and after: 3 groups, 4 members 6.3 us, 0.24 us; 12, 16: 28.8 us, 0.95 us; 139, 167 (one region of six): 479 us, 34.7 us, for 332 messages a second.

--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -185,13 +185,28 @@
 
 func (l *Loop) now() time.Duration { return l.config.Clock.Now() }
 
-// step feeds the failover machine, publishes, and carries out its actions.
+// step feeds the failover machine, publishes, and carries out its actions. A
+// heartbeat that calls for no action shows in the snapshot of the next tick.
 func (l *Loop) step(event failover.Event) {
 	actions := l.failover.Handle(l.now(), event)
+	if len(actions) == 0 && isHeartbeat(event) {
+		return
+	}
 	l.refresh()
 	l.carryOut(actions)
 }
 
+// isHeartbeat reports whether the event is a peer's view of the primaries. It
+// changes no permit, generation or replica.
+func isHeartbeat(event failover.Event) bool {
+	received, isMessage := event.(failover.PeerReceived)
+	if !isMessage {
+		return false
+	}
+	_, is := received.Message.(failover.Observed)
+	return is
+}
+
 // refresh takes the failover machine's view and publishes it.
 func (l *Loop) refresh() {
 	before := l.view
