Forward units of work to a peer where this instance has no connection

Peers publish in their status what is free of their connections. Where this instance has neither a grant nor an open connection to the upstream, a unit runs on a connection of a peer, one hop away; its own engine still decides on permits and marks.

--- a/pkg/coordination/control/actions.go
+++ b/pkg/coordination/control/actions.go
@@ -128,6 +128,7 @@
 		Leaving:  l.leaving,
 		Sessions: l.config.Traffic.Sessions(),
 		Admin:    l.config.Admin,
+		Rooms:    l.granting.rooms(),
 	}
 	if l.view.Head != nil {
 		status.HeadVersion = l.view.Head.Version
--- a/pkg/coordination/control/control_test.go
+++ b/pkg/coordination/control/control_test.go
@@ -190,7 +190,7 @@
 		Eventually(permitOf(1), patience).Should(BeTrue())
 		Expect(loop.Snapshot().Ref.Revision).To(Equal(model.Revision(1)))
 		Expect(loop.Snapshot().View.Registered).To(BeTrue())
-		grant := func() int { return loop.Snapshot().Grants["a"] }
+		grant := func() int { return loop.Snapshot().Connections["a"].Grant }
 		Eventually(grant, patience).Should(BeNumerically(">", 0))
 		Expect(grant()).To(BeNumerically("<", connections))
 	})
--- a/pkg/coordination/control/grants.go
+++ b/pkg/coordination/control/grants.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/bundle"
@@ -31,6 +34,20 @@
 	loop    *Loop
 	machine *grants.Machine
 	limits  map[model.UpstreamID]Limits
+	used    map[model.UpstreamID]grants.Used
+	// published is rebuilt with each round of reports, and then immutable.
+	published map[model.UpstreamID]Connections
+}
+
+// Connections is the state of this instance's connections to an upstream.
+type Connections struct {
+	// Grant is the number that may be open.
+	Grant int
+	// Open counts those that are open or being opened, and Busy those of them
+	// that serve a unit of work.
+	Open, Busy int
+	// Waiting counts the units that wait for one.
+	Waiting int
 }
 
 // Limits are the bounds on the connections to an upstream.
@@ -45,7 +62,12 @@
 	config := grants.DefaultConfig(loop.config.Self.ID)
 	config.Lifetime = loop.config.Failover.PermitLifetime
 	config.Drift = loop.config.Failover.Drift + grantSlack
-	return &granting{loop: loop, machine: grants.New(config), limits: make(map[model.UpstreamID]Limits)}
+	return &granting{
+		loop:    loop,
+		machine: grants.New(config),
+		limits:  make(map[model.UpstreamID]Limits),
+		used:    make(map[model.UpstreamID]grants.Used),
+	}
 }
 
 // adopted follows a new configuration.
@@ -59,6 +81,10 @@
 		}
 	}
 	g.limits = limits
+	maps.DeleteFunc(g.used, func(id model.UpstreamID, _ grants.Used) bool {
+		_, kept := limits[id]
+		return !kept
+	})
 	g.handle(grants.UpstreamsAdopted{Upstreams: specs})
 }
 
@@ -78,6 +104,7 @@
 	g.handle(grants.Tick{})
 	for id := range g.limits {
 		used := g.loop.config.Pools.Use(id)
+		g.used[id] = used
 		if len(g.loop.view.Members) <= warmMembers {
 			used.Waiting = max(used.Waiting, 1)
 		}
@@ -85,6 +112,34 @@
 		g.feed(used)
 		g.limit(id)
 	}
+	g.publish()
+}
+
+// publish makes what snapshots show of the connections.
+func (g *granting) publish() {
+	published := make(map[model.UpstreamID]Connections, len(g.limits))
+	for id, limits := range g.limits {
+		used := g.used[id]
+		published[id] = Connections{Grant: limits.Open, Open: used.Open, Busy: used.Busy, Waiting: used.Waiting}
+	}
+	g.published = published
+}
+
+// rooms returns what peers are told of the connections, ordered by upstream.
+func (g *granting) rooms() []Room {
+	var rooms []Room
+	for id, connections := range g.published {
+		if connections.Grant == 0 {
+			continue
+		}
+		rooms = append(rooms, Room{
+			Upstream: id,
+			Free:     max(connections.Grant-connections.Busy, 0),
+			Waiting:  connections.Waiting,
+		})
+	}
+	slices.SortFunc(rooms, func(a, b Room) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return rooms
 }
 
 // handle feeds the machine, carries out its actions and applies all limits.
@@ -181,12 +236,3 @@
 type grantInput struct{ event grants.Event }
 
 func (in grantInput) apply(l *Loop) { l.granting.handle(in.event) }
-
-// open returns the number of connections that may be open to each upstream.
-func (g *granting) open() map[model.UpstreamID]int {
-	open := make(map[model.UpstreamID]int, len(g.limits))
-	for id, limits := range g.limits {
-		open[id] = limits.Open
-	}
-	return open
-}
--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -259,14 +259,14 @@
 	}
 	now := l.now()
 	snapshot := &Snapshot{
-		At:      now,
-		Ref:     ref,
-		Bundle:  current,
-		View:    l.view,
-		Routing: l.samples.routing(now, current, &l.view),
-		Peers:   maps.Clone(l.peers),
-		Grants:  l.granting.open(),
-		Leaving: l.leaving,
+		At:          now,
+		Ref:         ref,
+		Bundle:      current,
+		View:        l.view,
+		Routing:     l.samples.routing(now, current, &l.view),
+		Peers:       maps.Clone(l.peers),
+		Connections: l.granting.published,
+		Leaving:     l.leaving,
 	}
 	l.latest.Store(snapshot)
 	l.config.Traffic.Publish(snapshot)
--- a/pkg/coordination/control/ports.go
+++ b/pkg/coordination/control/ports.go
@@ -73,6 +73,17 @@
 	Sessions int
 	// Admin is the address of the admin listener.
 	Admin string
+	// Rooms holds the upstreams to which the instance has connections.
+	Rooms []Room
+}
+
+// Room is the part of an instance's connections to an upstream that is free.
+type Room struct {
+	Upstream model.UpstreamID
+	// Free counts connections, open or not, that serve no unit of work.
+	Free int
+	// Waiting counts units that wait for a connection.
+	Waiting int
 }
 
 // Peers sends to other instances. Send and Announce do not wait, and may lose
--- a/pkg/coordination/control/snapshot.go
+++ b/pkg/coordination/control/snapshot.go
@@ -1,11 +1,15 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/adoption"
 	"gypsumdock/pkg/state/bundle"
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/grants"
+	"gypsumdock/pkg/state/members"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/state/routing"
 )
@@ -21,9 +25,8 @@
 	Routing *routing.Snapshot
 	// Peers holds the newest status of each peer, by instance.
 	Peers map[model.InstanceID]PeerStatus
-	// Grants is the number of connections that this instance may hold to each
-	// upstream.
-	Grants map[model.UpstreamID]int
+	// Connections is the state of this instance's connections to each upstream.
+	Connections map[model.UpstreamID]Connections
 	// Leaving is true once a graceful stop began.
 	Leaving bool
 }
@@ -42,3 +45,28 @@
 		Peers:   map[model.InstanceID]PeerStatus{},
 	}
 }
+
+// RoomsOf returns what the live peers have published of their connections to
+// an upstream, ordered by instance.
+func (s *Snapshot) RoomsOf(upstream model.UpstreamID) []grants.Room {
+	var rooms []grants.Room
+	for _, member := range s.View.Members {
+		status, known := s.Peers[member.Member.ID]
+		if !known || status.Leaving || member.State != members.Live {
+			continue
+		}
+		at, found := slices.BinarySearchFunc(status.Rooms, upstream, func(r Room, id model.UpstreamID) int {
+			return cmp.Compare(r.Upstream, id)
+		})
+		if !found {
+			continue
+		}
+		rooms = append(rooms, grants.Room{
+			Instance:   member.Member.ID,
+			DataCentre: member.Member.DataCentre,
+			Free:       status.Rooms[at].Free,
+			Waiting:    status.Rooms[at].Waiting,
+		})
+	}
+	return rooms
+}
--- a/pkg/coordination/engine/admit.go
+++ b/pkg/coordination/engine/admit.go
@@ -8,6 +8,7 @@
 	"gypsumdock/pkg/coordination/traffic"
 	"gypsumdock/pkg/state/admission"
 	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/grants"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/verdict"
 )
@@ -72,6 +73,7 @@
 		return nil, refused
 	}
 	return &traffic.Ticket{
+		Via:        u.via(upstream.ID),
 		Slot:       uint64(slot),
 		Statement:  u.statement,
 		Group:      u.group,
@@ -173,3 +175,19 @@
 	}
 	return found
 }
+
+// via names the instance whose connection the unit uses, or "" for one of this
+// instance. A unit is forwarded only where this instance has no connection.
+func (u *unit) via(upstream model.UpstreamID) model.InstanceID {
+	snapshot := u.engine.snapshot.Load()
+	own := snapshot.Connections[upstream]
+	if own.Grant > 0 || own.Open > 0 {
+		return ""
+	}
+	rooms := snapshot.RoomsOf(upstream)
+	peer, found := grants.Forward(rooms, snapshot.Routing.DataCentre, false, u.engine.config.Random())
+	if found {
+		u.engine.stats.forwarded.Add(1)
+	}
+	return peer
+}
--- a/pkg/coordination/engine/stats.go
+++ b/pkg/coordination/engine/stats.go
@@ -6,7 +6,7 @@
 type counters struct {
 	admitted, refused, done atomic.Uint64
 	samples, watches        atomic.Uint64
-	retries                 atomic.Uint64
+	retries, forwarded      atomic.Uint64
 }
 
 // Stats are the engine's counts since the start of the process. Admitted
@@ -18,17 +18,20 @@
 	Samples, Watches uint64
 	// Retries counts the further tries that the budget allowed.
 	Retries uint64
+	// Forwarded counts the units that ran on a connection of a peer.
+	Forwarded uint64
 }
 
 // Stats returns the counts.
 func (e *Engine) Stats() Stats {
 	return Stats{
-		Done:     e.stats.done.Load(),
-		Refused:  e.stats.refused.Load(),
-		Admitted: e.stats.admitted.Load(),
-		Samples:  e.stats.samples.Load(),
-		Watches:  e.stats.watches.Load(),
-		Retries:  e.stats.retries.Load(),
+		Done:      e.stats.done.Load(),
+		Refused:   e.stats.refused.Load(),
+		Admitted:  e.stats.admitted.Load(),
+		Samples:   e.stats.samples.Load(),
+		Watches:   e.stats.watches.Load(),
+		Retries:   e.stats.retries.Load(),
+		Forwarded: e.stats.forwarded.Load(),
 	}
 }
 
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -21,6 +21,7 @@
 	"gypsumdock/pkg/transport/mesh"
 	"gypsumdock/pkg/transport/meshpeer"
 	"gypsumdock/pkg/transport/pgback"
+	"gypsumdock/pkg/transport/pgforward"
 	"gypsumdock/pkg/transport/pgfront"
 	"gypsumdock/pkg/transport/pgprobe"
 )
@@ -133,7 +134,7 @@
 		Self:          i.self,
 		Region:        i.settings.Instance.Region,
 		Listener:      i.listeners.mesh,
-		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions, Reader: i.heads},
+		Handler:       i.inbound(),
 		Logger:        i.logger,
 		ServerTLS:     server,
 		ClientTLS:     client,
@@ -144,6 +145,16 @@
 	return nil
 }
 
+// inbound hands what peers send to the parts of this instance.
+func (i *Instance) inbound() *meshpeer.Inbound {
+	return &meshpeer.Inbound{
+		Control:  i.loop,
+		Homes:    i.sessions,
+		Reader:   i.heads,
+		Forwards: pgforward.NewLender(i.pools, i.engine),
+	}
+}
+
 func (i *Instance) assembleFront() error {
 	secure, err := callersTLS(i.settings.Callers)
 	if err != nil {
@@ -152,7 +163,7 @@
 	i.front, err = pgfront.New(pgfront.Config{
 		Listener:       i.listeners.callers,
 		Engine:         observe.New(i.engine, i.logger),
-		Backends:       i.pools,
+		Backends:       pgforward.NewBorrower(i.pools, i.mesh, i.tracer.Inject),
 		Logger:         i.logger,
 		Tracer:         spans{i.tracer},
 		TLS:            secure,
--- a/pkg/instance/status.go
+++ b/pkg/instance/status.go
@@ -87,7 +87,7 @@
 		DataCentre: upstream.DataCentre,
 		Role:       admin.RoleUnknown,
 		Leaving:    upstream.Leaving,
-		Grant:      snapshot.Grants[upstream.ID],
+		Grant:      snapshot.Connections[upstream.ID].Grant,
 		Open:       open.Open,
 	}
 	if upstream.ID == view.Primary {
--- a/pkg/protocol/meshlink/status.go
+++ b/pkg/protocol/meshlink/status.go
@@ -17,12 +17,19 @@
 		Sessions:    uint32(status.Sessions),
 		Admin:       status.Admin,
 	}
+	for _, room := range status.Rooms {
+		encoded.Upstreams = append(encoded.Upstreams, &meshpb.UpstreamStatus{
+			Upstream: string(room.Upstream),
+			Free:     uint32(room.Free),
+			Waiting:  uint32(room.Waiting),
+		})
+	}
 	return &meshpb.Envelope{Body: &meshpb.Envelope_Status{Status: encoded}}
 }
 
 // DecodeStatus returns the status in a message.
 func DecodeStatus(status *meshpb.Status) control.Status {
-	return control.Status{
+	decoded := control.Status{
 		Ref: adoption.Ref{
 			Revision: model.Revision(status.GetRevision()),
 			Digest:   status.GetDigest(),
@@ -32,4 +39,12 @@
 		Sessions:    int(status.GetSessions()),
 		Admin:       status.GetAdmin(),
 	}
+	for _, room := range status.GetUpstreams() {
+		decoded.Rooms = append(decoded.Rooms, control.Room{
+			Upstream: model.UpstreamID(room.GetUpstream()),
+			Free:     int(room.GetFree()),
+			Waiting:  int(room.GetWaiting()),
+		})
+	}
+	return decoded
 }
--- a/testbench/path/path_test.go
+++ b/testbench/path/path_test.go
@@ -24,9 +24,10 @@
 
 const startWait = 30 * time.Second
 
-func startCluster(ctx context.Context) *cluster.Cluster {
+func startClusterOf(ctx context.Context, deployment profile.Profile) *cluster.Cluster {
+	GinkgoHelper()
 	c, err := cluster.Start(ctx, cluster.Options{
-		Profile: profile.Tregwynt(), Instances: 4, Tuning: cluster.DefaultTuning(),
+		Profile: deployment, Instances: 4, Tuning: cluster.DefaultTuning(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Stop)
@@ -52,7 +53,7 @@
 var _ = Describe("a stock client", Ordered, func() {
 	var c *cluster.Cluster
 
-	BeforeAll(func(ctx SpecContext) { c = startCluster(ctx) })
+	BeforeAll(func(ctx SpecContext) { c = startClusterOf(ctx, profile.Tregwynt()) })
 
 	It("writes through one instance and reads its write through every other", func(ctx SpecContext) {
 		writer := connect(ctx, c, 0)
