--- /dev/null
+++ b/pkg/transport/pgfront/fuzz_test.go
@@ -0,0 +1,60 @@
+package pgfront_test
+
+import (
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"gypsumdock/pkg/transport/pgfront"
+)
+
+// fuzzWait bounds the end of a session whose caller is gone.
+const fuzzWait = 10 * time.Second
+
+func stream(messages ...pgproto3.FrontendMessage) []byte {
+	encoded := []byte(nil)
+	for _, message := range messages {
+		encoded = slices.Concat(encoded, encode(message))
+	}
+	return encoded
+}
+
+// FuzzMessages sends arbitrary bytes as an authenticated caller. Whatever they
+// are, the session ends with its caller and holds nothing afterwards.
+func FuzzMessages(f *testing.F) {
+	b, err := startBench(2, func(c *pgfront.Config) { c.MaxMessage = 1 << 16 })
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(b.close)
+	f.Add(stream(query("begin"), query("insert a"), query("commit")))
+	f.Add(stream(parse("s", "select $1"), bind("s"), execute, flush, syncAll, query("fail")))
+	f.Add(stream(query("begin"), parse("", "copy t"), bind(""), execute, syncAll, query("rollback")))
+	f.Add(stream(&pgproto3.FunctionCall{}, &pgproto3.CopyDone{}, flush, syncAll, &pgproto3.Terminate{}))
+	f.Add(stream(&pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Describe{ObjectType: 'P'}, syncAll))
+	f.Add([]byte{'Q', 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			b.server.ServeTrusted(far, "crane", "plugs")
+			_ = far.Close()
+		}()
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		_, _ = near.Write(data)
+		_ = near.Close()
+		select {
+		case <-ended:
+		case <-time.After(fuzzWait):
+			t.Fatal("the session goes on without its caller")
+		}
+		if b.engine.Open() != 0 {
+			t.Fatal("the session left a ticket behind")
+		}
+	})
+}
