Open two connections to an upstream at a time

Sixteen statements that arrived together opened sixteen connections. Those who wait now take the first that is opened or given back, and opening is no longer ended by the caller that asked for it. Some tests of the pools read the counts of a pool that did not exist yet.

--- a/pkg/transport/pgback/pgback_test.go
+++ b/pkg/transport/pgback/pgback_test.go
@@ -33,6 +33,8 @@
 	most atomic.Int64
 	// logins is how many connections logged in.
 	logins atomic.Int64
+	// slow, where set, is what logins wait for.
+	slow atomic.Pointer[chan struct{}]
 
 	mu      sync.Mutex
 	queries []string
@@ -73,10 +75,20 @@
 	}
 }
 
+// slowLogins makes logins wait until the channel is closed.
+func (d *database) slowLogins() chan struct{} {
+	slow := make(chan struct{})
+	d.slow.Store(&slow)
+	return slow
+}
+
 func (d *database) run(connection net.Conn) {
 	// As in PostgreSQL, the place is free before the other side sees the end.
 	defer connection.Close()
 	defer d.count(-1)
+	if slow := d.slow.Load(); slow != nil {
+		<-*slow
+	}
 	wire := pgproto3.NewBackend(connection, connection)
 	if _, err := wire.ReceiveStartupMessage(); err != nil {
 		return
@@ -166,7 +178,7 @@
 		Expect(refused).To(BeNil())
 		return backend
 	}
-	stats := func() pgback.Stats { return pools.Stats()[0] }
+	stats := func() pgback.Stats { return pools.StatsOf("u") }
 	balance := func() bool {
 		s := stats()
 		return s.Opened == s.Closed+uint64(s.Open)
@@ -274,6 +286,23 @@
 		Expect(stats().Idle).To(Equal(1))
 	})
 
+	It("turns a burst of work into no burst of logins", func() {
+		newPools(pgback.Config{DefaultLimit: 16})
+		slow := d.slowLogins()
+		group := sync.WaitGroup{}
+		for range 16 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				acquire(1).Release(pgback.ReuseClean)
+			})
+		}
+		Eventually(func() int { return stats().Waiting }).Should(Equal(16))
+		Consistently(d.open.Load, "20ms").Should(BeNumerically("<=", 2))
+		close(slow)
+		group.Wait()
+		Expect(d.most.Load()).To(BeNumerically("<", 16))
+	})
+
 	It("opens connections ahead of need, one at a time", func() {
 		newPools(pgback.Config{DefaultLimit: 5, MinIdle: 3})
 		t := d.ticket(1, longWait)
--- a/pkg/transport/pgback/pool.go
+++ b/pkg/transport/pgback/pool.go
@@ -6,13 +6,15 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/jackc/pgx/v5/pgconn"
-
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/verdict"
 )
 
+// maxDials bounds the connections to one upstream that are opened at once, so
+// that a burst of work does not become a burst of logins. Work that comes
+// meanwhile is often served by a connection that is given back.
+const maxDials = 2
+
 // waiter is a unit of work that waits for a connection.
 type waiter struct {
 	want origin
@@ -20,9 +22,10 @@
 	ready chan offer
 }
 
-// offer is a connection, or with none the right to open one.
+// offer is a connection, or the reason that there is none.
 type offer struct {
 	conn *conn
+	err  error
 }
 
 // pool holds the connections to one upstream.
@@ -36,37 +39,43 @@
 	limit   int // connections up to which more may be opened
 	keep    int // connections beyond which some are closed
 	open    int // connections that are being opened, open or being closed
+	opening int // connections that are being opened
 	closing int // connections that are being closed
 	idle    []*conn
 	waiters []*waiter
-	warm    warmer
-	closed  bool
+	// want is what the pool was last asked for.
+	want   origin
+	closed bool
 }
 
-// get returns an idle connection, opens one, or waits for one.
+// get returns an idle connection, or waits for one to be opened or given back.
 func (p *pool) get(ctx context.Context, want origin, deadline time.Time) (*conn, *verdict.Error) {
 	p.mu.Lock()
-	p.warm.note(want)
-	if c := p.takeIdle(want); c != nil {
-		p.mu.Unlock()
-		p.keepWarm()
-		return c, nil
-	}
 	if p.closed {
 		p.mu.Unlock()
 		return nil, verdict.New(verdict.Stopping, verdict.NotRun, "the proxy is stopping")
 	}
-	if p.open < p.limit {
-		p.open++
+	p.note(want)
+	if c := p.takeIdle(want); c != nil {
+		p.grow()
 		p.mu.Unlock()
-		return p.openConn(ctx, want, deadline)
+		return c, nil
 	}
 	w := &waiter{want: want, ready: make(chan offer, 1)}
 	p.waiters = append(p.waiters, w)
+	p.grow()
 	p.mu.Unlock()
 	return p.wait(ctx, w, deadline)
 }
 
+// note records what the pool is asked for, unless it is older than what is
+// known. The caller holds mu.
+func (p *pool) note(want origin) {
+	if want.generation >= p.want.generation {
+		p.want = want
+	}
+}
+
 // takeIdle returns a connection that serves want; others that are out of date
 // or broken are closed. The caller holds mu.
 func (p *pool) takeIdle(want origin) *conn {
@@ -88,68 +97,16 @@
 	return c.origin.matches(want) && !c.probe.hasInput()
 }
 
-// openConn opens a connection whose place in open is already taken.
-func (p *pool) openConn(ctx context.Context, want origin, deadline time.Time) (*conn, *verdict.Error) {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	c, err := p.dial(ctx, want)
-	if err != nil {
-		return nil, refuseOpen(ctx, err)
-	}
-	return c, nil
-}
-
-func refuseOpen(ctx context.Context, err error) *verdict.Error {
-	code := verdict.NoUpstream
-	reason := "the database can't be reached"
-	if ctx.Err() != nil {
-		code = verdict.DeadlineExceeded
-		reason = "no connection to the database within the deadline"
-	}
-	return verdict.New(code, verdict.NotRun, reason).WithCause(err).WithRetryAfter(retryAfterOpen)
-}
-
-// dial opens a connection whose place in open is already taken, and gives the
-// place back when it fails.
-func (p *pool) dial(ctx context.Context, want origin) (*conn, error) {
-	c, err := p.dialer.dial(ctx, want.group, want.upstream)
-	if err != nil {
-		p.logFailed(err)
-		p.stats.failed.Add(1)
-		p.mu.Lock()
-		p.open--
-		p.passOn()
-		p.mu.Unlock()
-		return nil, err
-	}
-	p.stats.opened.Add(1)
-	events.Log(ctx, p.logger, events.UpstreamConnected)
-	c.pool = p
-	c.origin = want
-	return c, nil
-}
-
-// invalidPassword and invalidAuthorization are SQLSTATEs of a refused login.
-const (
-	invalidPassword      = "28P01"
-	invalidAuthorization = "28000"
-)
-
-func (p *pool) logFailed(err error) {
-	event := events.UpstreamConnectFailed
-	var refused *pgconn.PgError
-	if errors.As(err, &refused) && (refused.Code == invalidPassword || refused.Code == invalidAuthorization) {
-		event = events.UpstreamAuthFailed
-	}
-	events.Log(context.Background(), p.logger, event, slog.String("reason", err.Error()))
-}
-
 func (p *pool) wait(ctx context.Context, w *waiter, deadline time.Time) (*conn, *verdict.Error) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case o := <-w.ready:
-		return p.accept(ctx, w, o, deadline)
+		if o.err != nil {
+			return nil, verdict.New(verdict.NoUpstream, verdict.NotRun, "the database can't be reached").
+				WithCause(o.err).WithRetryAfter(retryAfterOpen)
+		}
+		return o.conn, nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -158,13 +115,6 @@
 		WithRetryAfter(retryAfterWait)
 }
 
-func (p *pool) accept(ctx context.Context, w *waiter, o offer, deadline time.Time) (*conn, *verdict.Error) {
-	if o.conn == nil {
-		return p.openConn(ctx, w.want, deadline)
-	}
-	return o.conn, nil
-}
-
 // abandon takes w out of the queue and passes on what it was offered.
 func (p *pool) abandon(w *waiter) {
 	p.mu.Lock()
@@ -175,13 +125,9 @@
 			return
 		}
 	}
-	o := <-w.ready
-	if o.conn != nil {
+	if o := <-w.ready; o.conn != nil {
 		p.putLocked(o.conn)
-		return
 	}
-	p.open--
-	p.passOn()
 }
 
 // put takes back a connection that is ready for its next use.
@@ -192,7 +138,7 @@
 }
 
 func (p *pool) putLocked(c *conn) {
-	outdated := c.origin.generation < p.warm.want.generation
+	outdated := c.origin.generation < p.want.generation
 	if p.closed || p.isOver() || outdated {
 		p.closeLocked(c)
 		return
@@ -234,15 +180,7 @@
 	defer p.mu.Unlock()
 	p.closing--
 	p.open--
-	p.passOn()
-}
-
-// passOn lets waiters open connections while there is room.
-func (p *pool) passOn() {
-	for len(p.waiters) > 0 && p.open < p.limit && !p.closed {
-		p.open++
-		p.popWaiter().ready <- offer{}
-	}
+	p.grow()
 }
 
 func (p *pool) popWaiter() *waiter {
@@ -256,6 +194,7 @@
 // and the number beyond which some are closed.
 func (p *pool) setLimits(limit, keep int) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.limit = limit
 	p.keep = keep
 	for p.isOver() && len(p.idle) > 0 {
@@ -263,9 +202,7 @@
 		p.idle = append(p.idle[:0], p.idle[1:]...)
 		p.closeLocked(c)
 	}
-	p.passOn()
-	p.mu.Unlock()
-	p.keepWarm()
+	p.grow()
 }
 
 // shut closes idle connections and refuses new ones; those in use are closed
--- a/pkg/transport/pgback/pools.go
+++ b/pkg/transport/pgback/pools.go
@@ -114,9 +114,9 @@
 func (p *Pools) Warm(group *bundle.Group, upstream *bundle.Upstream, generation model.Generation) {
 	pool := p.pool(upstream.ID)
 	pool.mu.Lock()
-	pool.warm.note(origin{group: group, upstream: upstream, generation: generation})
-	pool.mu.Unlock()
-	pool.keepWarm()
+	defer pool.mu.Unlock()
+	pool.note(origin{group: group, upstream: upstream, generation: generation})
+	pool.grow()
 }
 
 // Close closes idle connections, and those in use as they are released.
--- a/pkg/transport/pgfront/cancel_test.go
+++ b/pkg/transport/pgfront/cancel_test.go
@@ -73,7 +73,7 @@
 			_, err := second.Exec(ctx, "insert b")
 			done <- err
 		}()
-		Eventually(func() int { return b.pools.Stats()[0].Waiting }).Should(Equal(1))
+		Eventually(func() int { return b.pools.StatsOf("plugs-1").Waiting }).Should(Equal(1))
 		Expect(second.PgConn().CancelRequest(ctx)).To(Succeed())
 		Expect(stateOf(<-done)).To(Equal("57014"))
 		_, err = first.Exec(ctx, "commit")
--- a/pkg/transport/pgfront/mixed_test.go
+++ b/pkg/transport/pgfront/mixed_test.go
@@ -164,7 +164,7 @@
 func expectBalance(b *bench) {
 	GinkgoHelper()
 	Eventually(func() bool {
-		stats := b.pools.Stats()[0]
+		stats := b.pools.StatsOf("plugs-1")
 		return stats.Opened == stats.Closed+uint64(stats.Open) && stats.Open == stats.Idle
 	}).Should(BeTrue())
 	stats := b.server.Stats()
--- a/pkg/transport/pgfront/verdict_test.go
+++ b/pkg/transport/pgfront/verdict_test.go
@@ -220,7 +220,7 @@
 		raw := second.PgConn().Conn()
 		_, err = raw.Write(encode(&pgproto3.Query{String: "insert b"}))
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(func() int { return b.pools.Stats()[0].Waiting }).Should(Equal(1))
+		Eventually(func() int { return b.pools.StatsOf("plugs-1").Waiting }).Should(Equal(1))
 		time.Sleep(10 * time.Millisecond)
 		Expect(raw.Close()).To(Succeed())
 		_, err = first.Exec(ctx, "commit")
