--- a/pkg/transport/pgback/pools.go
+++ b/pkg/transport/pgback/pools.go
@@ -170,8 +170,10 @@
 	Closed uint64
 	Failed uint64
 	// Open includes connections that are being opened or closed.
-	Open    int
-	Idle    int
+	Open int
+	Idle int
+	// Waiting counts units of work that wait, beyond those for which a
+	// connection is being opened.
 	Waiting int
 	Limit   int
 }
@@ -202,7 +204,7 @@
 		Failed:   p.stats.failed.Load(),
 		Open:     p.open,
 		Idle:     len(p.idle),
-		Waiting:  len(p.waiters),
+		Waiting:  max(len(p.waiters)-p.opening, 0),
 		Limit:    p.limit,
 	}
 }
