--- a/testbench/load/config.go
+++ b/testbench/load/config.go
@@ -45,6 +45,9 @@
 	// KillAfter kills the primary of the first group that long after the
 	// warm-up; 0 kills none.
 	KillAfter time.Duration
+	// CrashAfter kills the first instance that long after the warm-up; 0 kills
+	// none.
+	CrashAfter time.Duration
 	// Network adds the deployment's network latency between processes.
 	Network bool
 }
@@ -114,6 +117,8 @@
 		c.Lag, err = time.ParseDuration(value)
 	case "kill":
 		c.KillAfter, err = time.ParseDuration(value)
+	case "crash":
+		c.CrashAfter, err = time.ParseDuration(value)
 	case "statement":
 		c.Profile.Statement, err = time.ParseDuration(value)
 	case "deadline":
--- a/testbench/load/report.go
+++ b/testbench/load/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -37,8 +38,11 @@
 	Latency      map[history.Kind]Latency `json:"latency"`
 	// FailoverGapMS is the time from the kill of the primary to the first
 	// acknowledged write; negative when none was acknowledged.
-	FailoverGapMS *float64            `json:"failover_gap_ms,omitempty"`
-	Violations    []history.Violation `json:"violations"`
+	FailoverGapMS *float64 `json:"failover_gap_ms,omitempty"`
+	// LongestPauseMS is the longest time between two acknowledged writes of the
+	// first group.
+	LongestPauseMS float64             `json:"longest_pause_ms"`
+	Violations     []history.Violation `json:"violations"`
 
 	histograms map[history.Kind]*hdrhistogram.Histogram
 	// answers counts the answered requests of each step since the warm-up.
@@ -88,6 +92,7 @@
 	report.ReplicaShare = float64(replica) / float64(max(1, reads))
 	report.summarise()
 	report.gap(r)
+	report.pause(r, measured, end)
 	return report, nil
 }
 
@@ -137,3 +142,20 @@
 	}
 	p.FailoverGapMS = &shortest
 }
+
+// pause finds the longest time between two acknowledged writes.
+func (p *Report) pause(r *runner, measured, end time.Time) {
+	group := r.cluster.Layout.Groups[0].ID
+	var landed []time.Time
+	for _, op := range r.log.Ops() {
+		if op.Kind.IsWrite() && op.Group == group && op.Outcome == history.OutcomeOK && op.End.After(measured) {
+			landed = append(landed, op.End)
+		}
+	}
+	slices.SortFunc(landed, time.Time.Compare)
+	last := measured
+	for _, at := range append(landed, end) {
+		p.LongestPauseMS = max(p.LongestPauseMS, milliseconds(at.Sub(last)))
+		last = at
+	}
+}
--- a/testbench/load/run.go
+++ b/testbench/load/run.go
@@ -86,7 +86,7 @@
 	begin := time.Now()
 	measured := begin.Add(r.config.Warmup)
 	end := measured.Add(r.config.Duration)
-	faults := r.scheduleKill(ctx, measured)
+	faults := r.scheduleFaults(ctx, measured)
 	r.arrive(ctx, begin, end)
 	for _, u := range r.users {
 		close(u.queue)
@@ -222,22 +222,32 @@
 	r.done = append(r.done, finished{arrival: next, Request: request})
 }
 
-func (r *runner) scheduleKill(ctx context.Context, measured time.Time) *errgroup.Group {
+// scheduleFaults starts the faults of the configuration at their times.
+func (r *runner) scheduleFaults(ctx context.Context, measured time.Time) *errgroup.Group {
 	var faults errgroup.Group
-	if r.config.KillAfter == 0 {
-		return &faults
-	}
-	faults.Go(func() error {
-		time.Sleep(time.Until(measured.Add(r.config.KillAfter)))
-		group := r.cluster.Layout.Groups[0]
-		fault := upstreamd.Fault{Group: group.ID, Upstream: group.Upstreams[0].ID, Action: upstreamd.ActionKill}
-		if err := r.cluster.Upstreams.Apply(ctx, fault); err != nil {
-			return err
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.killed = time.Now()
-		return nil
-	})
+	if r.config.KillAfter > 0 {
+		faults.Go(func() error {
+			time.Sleep(time.Until(measured.Add(r.config.KillAfter)))
+			return r.killPrimary(ctx)
+		})
+	}
+	if r.config.CrashAfter > 0 {
+		faults.Go(func() error {
+			time.Sleep(time.Until(measured.Add(r.config.CrashAfter)))
+			return r.cluster.Instances[0].Kill()
+		})
+	}
 	return &faults
 }
+
+func (r *runner) killPrimary(ctx context.Context) error {
+	group := r.cluster.Layout.Groups[0]
+	fault := upstreamd.Fault{Group: group.ID, Upstream: group.Upstreams[0].ID, Action: upstreamd.ActionKill}
+	if err := r.cluster.Upstreams.Apply(ctx, fault); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.killed = time.Now()
+	return nil
+}
--- a/testbench/load/text.go
+++ b/testbench/load/text.go
@@ -28,6 +28,7 @@
 		{"replica share", func(r *Report) float64 { return r.ReplicaShare }},
 		{"violations", func(r *Report) float64 { return float64(len(r.Violations)) }},
 		{"shed by the tool", func(r *Report) float64 { return float64(r.Shed) }},
+		{"longest pause of writes ms", func(r *Report) float64 { return r.LongestPauseMS }},
 		{"failover gap ms", func(r *Report) float64 {
 			if r.FailoverGapMS == nil {
 				return math.NaN()
