--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -8,6 +8,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/engine"
+	"gypsumdock/pkg/coordination/grantstore"
 	"gypsumdock/pkg/coordination/headstore"
 	"gypsumdock/pkg/coordination/observe"
 	"gypsumdock/pkg/coordination/platform"
@@ -39,8 +40,8 @@
 		Timeout: i.settings.Platform.Timeout,
 		Token:   string(i.settings.Platform.Token),
 	})
-	i.prober = pgprobe.New()
-	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle}); err != nil {
+	i.prober = pgprobe.New(applicationOf(i.self.ID))
+	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle, Application: applicationOf(i.self.ID)}); err != nil {
 		return err
 	}
 	peers, err := i.assembleControl()
@@ -61,7 +62,7 @@
 		Self:        i.self.ID,
 		Lease:       lease,
 		Clock:       i.clock,
-		Peers:       peers,
+		Peers:       tracedPeers{peers, i.tracer},
 		RefreshHead: func() { i.loop.RefreshHead() },
 	})
 	i.engine = engine.New(engine.Config{
@@ -70,6 +71,9 @@
 		Positions: i.prober,
 		Random:    rand.Uint64,
 	})
+	store := headstore.New(i.table(), i.settings.Instance.Region)
+	view := func() *failover.View { return &i.loop.Snapshot().View }
+	i.heads = headstore.NewRelayed(store, i.self, peers, view)
 	loop, err := control.New(control.Config{
 		Self:           i.self,
 		Failover:       i.failoverConfig(),
@@ -79,12 +83,14 @@
 		PromoteTimeout: i.settings.Failover.PromoteTimeout,
 		Admin:          i.listeners.admin.Addr().String(),
 		Clock:          i.clock,
-		Store:          headstore.New(i.table(), i.settings.Instance.Region),
+		Store:          i.heads,
 		Platform:       platformServices{i.platform.Objects(), i.platform},
 		Upstreams:      upstreams{i.prober},
 		Peers:          peers,
 		Sessions:       i.sessions,
-		Traffic:        publisher{i.engine, i.pools},
+		Traffic:        i.engine,
+		Grants:         grantstore.New(i.table()),
+		Pools:          poolUse{i.pools},
 		Logger:         i.logger,
 	})
 	i.loop = loop
@@ -127,7 +133,7 @@
 		Self:          i.self,
 		Region:        i.settings.Instance.Region,
 		Listener:      i.listeners.mesh,
-		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions},
+		Handler:       &meshpeer.Inbound{Control: i.loop, Homes: i.sessions, Reader: i.heads},
 		Logger:        i.logger,
 		ServerTLS:     server,
 		ClientTLS:     client,
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -34,6 +34,7 @@
 type Control interface {
 	PeerReceived(from model.InstanceID, message failover.PeerMessage)
 	StatusReceived(from model.InstanceID, status control.Status)
+	GrantHinted(upstream model.UpstreamID)
 	Snapshot() *control.Snapshot
 	Bundle(digest string) ([]byte, bool)
 }
@@ -47,6 +48,11 @@
 	HandedOver(from model.InstanceID, row model.RowVersion)
 }
 
+// Reader reads the head row for peers. The read starts after the call.
+type Reader interface {
+	ReadFor(ctx context.Context) (*model.Head, error)
+}
+
 // Forwards serves units of work that peers forward. It owns conn.
 type Forwards interface {
 	Serve(ctx context.Context, from model.InstanceID, open *meshpb.ForwardOpen, conn net.Conn)
@@ -99,6 +105,12 @@
 	return answer, nil
 }
 
+// HintGrant tells a peer that an upstream's row of grants has changed.
+func (p *Peers) HintGrant(to model.InstanceID, upstream model.UpstreamID) {
+	hint := &meshpb.GrantHint{Upstream: string(upstream)}
+	_ = p.node.Send(to, &meshpb.Envelope{Body: &meshpb.Envelope_GrantHint{GrantHint: hint}})
+}
+
 // FetchBundle asks a peer for the bundle with the digest.
 func (p *Peers) FetchBundle(ctx context.Context, from model.InstanceID, digest string) ([]byte, error) {
 	ask := &meshpb.Envelope{Body: &meshpb.Envelope_BundleAsk{BundleAsk: &meshpb.BundleAsk{Digest: digest}}}
@@ -128,6 +140,16 @@
 	return nil, ErrNoAnswer
 }
 
+// FreshHead returns the head row, read from the table by the relay after the
+// question arrived there.
+func (p *Peers) FreshHead(ctx context.Context, relay model.InstanceID, known *model.Head) (*model.Head, error) {
+	answer, err := p.call(ctx, relay, meshlink.EncodeFreshHeadAsk(known.Version))
+	if err != nil {
+		return nil, err
+	}
+	return meshlink.DecodeHeadAnswer(answer, known)
+}
+
 // StoreMark stores a mark at its home.
 func (p *Peers) StoreMark(
 	ctx context.Context, home marks.Target, key marks.Key, mark model.Mark,
--- a/pkg/transport/pgfront/exchange.go
+++ b/pkg/transport/pgfront/exchange.go
@@ -5,7 +5,6 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/verdict"
 )
 
@@ -23,7 +22,7 @@
 	if refused := s.server.config.Engine.MaySend(u.ticket); refused != nil {
 		return &failure{Error: refused, final: u.ticket.Sent}
 	}
-	_, end := s.server.config.Tracer.Start(s.context(), "upstream.exchange")
+	_, end := s.startHop("upstream")
 	defer end()
 	start := time.Now()
 	defer func() { u.latency += time.Since(start) }()
@@ -196,7 +195,8 @@
 
 func (c *composer) sendRun() {
 	if c.runStart < c.runEnd {
-		c.unit.backend.Send(pgwire.Encoded(c.batch.buffer[c.runStart:c.runEnd]))
+		c.unit.passage = c.batch.buffer[c.runStart:c.runEnd]
+		c.unit.backend.Send(&c.unit.passage)
 	}
 	c.runStart = c.runEnd
 }
