--- a/pkg/state/failover/detector.go
+++ b/pkg/state/failover/detector.go
@@ -57,7 +57,7 @@
 	if m.head == nil {
 		return true
 	}
-	gh, found := m.head.Group(g.id)
+	gh, found := m.groupHead(g.id)
 	if !found || gh.Primary != up.spec.ID {
 		return true
 	}
@@ -155,7 +155,7 @@
 	m.observeNow = false
 	var groups []Observation
 	for _, g := range m.groups {
-		gh, found := m.head.Group(g.id)
+		gh, found := m.groupHead(g.id)
 		up := g.upstream(gh.Primary)
 		if !found || up == nil || !up.known {
 			continue
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -137,7 +137,7 @@
 }
 
 func (m *Machine) decideGroup(g *group, changes *edits) {
-	gh, found := m.head.Group(g.id)
+	gh, found := m.groupHead(g.id)
 	if !found {
 		m.decideStart(g, changes)
 		return
--- a/pkg/state/failover/head.go
+++ b/pkg/state/failover/head.go
@@ -91,16 +91,34 @@
 		m.reportMembers(m.head, head)
 	}
 	m.head = head
+	m.indexGroups()
 	m.headFresh = 0
 	m.tracker.SetMembers(m.now, head.Members)
 	m.member.follow(m)
 	m.followHead()
 }
 
+// indexGroups remembers the place of each group in the newest known row.
+func (m *Machine) indexGroups() {
+	m.groupIndex = make(map[model.GroupID]int, len(m.head.Groups))
+	for i, gh := range m.head.Groups {
+		m.groupIndex[gh.ID] = i
+	}
+}
+
+// groupHead returns the group's state in the newest known row.
+func (m *Machine) groupHead(id model.GroupID) (model.GroupHead, bool) {
+	i, found := m.groupIndex[id]
+	if !found {
+		return model.GroupHead{}, false
+	}
+	return m.head.Groups[i], true
+}
+
 // followHead brings every group in line with the newest known row.
 func (m *Machine) followHead() {
 	for _, g := range m.groups {
-		gh, found := m.head.Group(g.id)
+		gh, found := m.groupHead(g.id)
 		if found {
 			m.followGroup(g, gh)
 		}
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -18,6 +18,8 @@
 	started     bool
 	// head is the newest known row. It is immutable; nil before the first read.
 	head *model.Head
+	// groupIndex holds the place of each group in head.
+	groupIndex map[model.GroupID]int
 	// headFresh is the start of the newest table read that found head.
 	headFresh time.Duration
 	confirmed confirmation
@@ -58,10 +60,26 @@
 	m.actions = nil
 	m.advance(now)
 	m.apply(ev)
+	if probe, isProbe := ev.(Probed); isProbe && !m.decideProbed(probe.Group) {
+		return m.actions
+	}
 	m.decide()
 	return m.actions
 }
 
+// decideProbed takes the decisions of one group after a probe, so that the cost
+// of a probe does not grow with the number of groups. It reports whether other
+// decisions are called for.
+func (m *Machine) decideProbed(id model.GroupID) bool {
+	g := m.groupByID[id]
+	if g == nil || m.head == nil {
+		return false
+	}
+	var changes edits
+	m.decideGroup(g, &changes)
+	return len(changes.list) > 0 || m.observeNow
+}
+
 func (m *Machine) apply(ev Event) {
 	switch event := ev.(type) {
 	case Tick:
--- a/pkg/state/failover/permit.go
+++ b/pkg/state/failover/permit.go
@@ -71,7 +71,7 @@
 }
 
 func (m *Machine) renewPermit(g *group, from time.Duration) {
-	gh, found := m.head.Group(g.id)
+	gh, found := m.groupHead(g.id)
 	if !found || gh.Seal != nil {
 		return
 	}
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -266,7 +266,7 @@
 	if g == nil || m.head == nil || !event.OK {
 		return
 	}
-	gh, found := m.head.Group(g.id)
+	gh, found := m.groupHead(g.id)
 	if !found || gh.Seal == nil || gh.Seal.Candidate != event.Upstream || event.Timeline <= gh.Timeline {
 		return
 	}
--- a/pkg/state/failover/switch.go
+++ b/pkg/state/failover/switch.go
@@ -29,7 +29,7 @@
 
 // refuseSwitch returns why a switch to target cannot start, or nothing.
 func (m *Machine) refuseSwitch(g *group, target model.UpstreamID) string {
-	gh, found := m.head.Group(g.id)
+	gh, found := m.groupHead(g.id)
 	switch {
 	case !found:
 		return "the group has no primary yet"
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -76,7 +76,7 @@
 		view.Members = append(view.Members, MemberView{Member: member, State: m.tracker.State(m.now, member.ID)})
 	}
 	for _, g := range m.groups {
-		gh, found := m.head.Group(g.id)
+		gh, found := m.groupHead(g.id)
 		if found {
 			view.Groups = append(view.Groups, m.viewGroup(g, gh))
 		}
