Bound the connections before a smaller grant is written, and run the grants

Hints are sent after a write is applied: one sent with the write found the row unchanged, and the holder read the request to shrink only 30 s later.

--- a/pkg/state/grants/event.go
+++ b/pkg/state/grants/event.go
@@ -95,7 +95,8 @@
 	Row      *Row
 }
 
-// Used reports this instance's use of an upstream.
+// Used reports this instance's use of an upstream. It must be read after the
+// limits that follow from all earlier events were set.
 type Used struct {
 	Upstream model.UpstreamID
 	// Open counts connections that are open or being opened.
--- a/pkg/state/grants/grants_test.go
+++ b/pkg/state/grants/grants_test.go
@@ -58,6 +58,7 @@
 		Entry("no wait for the lease of a removed member", grants.Rules{NoLapse: true}),
 		Entry("no count of a removed member's connections", grants.Rules{NoCount: true}),
 		Entry("no renewal of the entry after a lapse", grants.Rules{NoRenewal: true}),
+		Entry("no bound before a smaller grant is written", grants.Rules{NoCeiling: true}),
 		Entry("a write counts before its answer", grants.Rules{GrowFirst: true}),
 	)
 })
@@ -120,6 +121,18 @@
 		Entry("Lankapower", 55),
 	)
 
+	It("shrinks when an operator lowers the limit", func() {
+		w := newWorld(func(int) int { return 0 }, grants.Rules{})
+		w.advance(5 * time.Second)
+		lowered := grants.UpstreamsAdopted{Upstreams: []grants.Spec{{ID: db, Connections: 4, Reserve: reserve}}}
+		for _, n := range w.nodes {
+			w.handle(n, lowered)
+		}
+		w.advance(5 * time.Second)
+		Expect(w.open()).To(Equal(4 - reserve))
+		Expect(w.row.Sum()).To(Equal(4 - reserve))
+	})
+
 	It("keeps its connections open through an outage of the table", func() {
 		w := newWorld(func(int) int { return 0 }, grants.Rules{})
 		w.advance(5 * time.Second)
--- a/pkg/state/grants/machine.go
+++ b/pkg/state/grants/machine.go
@@ -38,6 +38,8 @@
 	NoCount bool
 	// NoRenewal uses a grant again after a lapse without writing the entry.
 	NoRenewal bool
+	// NoCeiling writes a smaller grant without bounding the connections first.
+	NoCeiling bool
 	// GrowFirst counts a write as applied before it is answered.
 	GrowFirst bool
 }
@@ -96,6 +98,11 @@
 	wrote     bool
 	wroteAt   time.Duration
 	used      Used
+	// ceiling bounds the connections while the grant is to shrink to it;
+	// reported is true once the use was reported under it.
+	shrinking bool
+	ceiling   int
+	reported  bool
 	// neededAt is when the whole grant was last needed.
 	neededAt time.Duration
 	// countedAt is when a count was last asked for.
@@ -111,6 +118,7 @@
 
 // Handle takes an event and returns what has to be done.
 func (m *Machine) Handle(now time.Duration, event Event) []Action {
+	var actions []Action
 	switch e := event.(type) {
 	case Confirmed:
 		m.confirm(now, e)
@@ -118,16 +126,20 @@
 		m.adopt(e.Upstreams)
 	case RowRead:
 		m.rowRead(now, e)
+		actions = m.hints(m.upstream(e.Upstream), false)
 	case RowWritten:
 		m.rowWritten(e)
+		actions = m.hints(m.upstream(e.Upstream), e.Outcome != WriteUnknown)
 	case Used:
-		return m.withUpstream(now, e.Upstream, func(u *upstream) { u.used = e })
+		return m.withUpstream(now, e.Upstream, func(u *upstream) {
+			u.used = e
+			u.reported = true
+		})
 	case Hinted:
 		return m.withUpstream(now, e.Upstream, func(u *upstream) { u.hinted = true })
 	case Counted:
 		return m.counted(now, e)
 	}
-	var actions []Action
 	for _, u := range m.upstreams {
 		actions = append(actions, m.plan(now, u)...)
 	}
@@ -235,7 +247,29 @@
 	if u.pending != nil {
 		own = m.smaller(own, m.own(u, u.pending.Row))
 	}
-	return own
+	return u.below(own)
+}
+
+// below applies the ceiling.
+func (u *upstream) below(limit int) int {
+	if u.shrinking {
+		return min(limit, u.ceiling)
+	}
+	return limit
+}
+
+// Held returns the connections to the upstream that need not be closed: the
+// grant, also while the lease has lapsed. None may be opened while Limit is 0.
+func (m *Machine) Held(id model.UpstreamID) int {
+	u := m.upstream(id)
+	if u == nil || !u.known {
+		return 0
+	}
+	held := u.row.held(m.config.Self)
+	if u.pending != nil {
+		held = min(held, u.pending.Row.held(m.config.Self))
+	}
+	return u.below(min(held, m.usable(u)))
 }
 
 // own returns what this instance may use of a row's grants.
--- a/pkg/state/grants/plan.go
+++ b/pkg/state/grants/plan.go
@@ -46,11 +46,29 @@
 // isOwed reports whether this instance waits for others to shrink. Where
 // there are more claimants than connections, units are forwarded instead.
 func (m *Machine) isOwed(u *upstream) bool {
-	if m.claimants(u.row) > m.usable(u) {
+	own := u.row.entry(m.config.Self)
+	if own == nil || m.claimants(u.row) > m.usable(u) {
 		return false
 	}
+	return own.Grant < min(m.desired(u), m.fairShare(u, u.row))
+}
+
+// hints tells holders that they are asked to shrink and, after a write of this
+// instance, claimants that connections are free.
+func (m *Machine) hints(u *upstream, wrote bool) []Action {
+	if u == nil || !u.known || !wrote && !m.isOwed(u) {
+		return nil
+	}
 	fair := m.fairShare(u, u.row)
-	return u.row.entry(m.config.Self).Grant < min(m.desired(u), fair)
+	free := wrote && u.row.Sum() < m.usable(u) && m.claimants(u.row) <= m.usable(u)
+	var actions []Action
+	for _, e := range u.row.Entries {
+		asked := e.Target < e.Grant
+		if e.Instance != m.config.Self && (asked || free && e.Grant < min(e.Wanted, fair)) {
+			actions = append(actions, HintPeer{To: e.Instance, Upstream: u.spec.ID})
+		}
+	}
+	return actions
 }
 
 // closeExcess asks to close connections beyond what may be open. When the
@@ -94,13 +112,15 @@
 		return m.renew(now, u, next, mine)
 	case own.Target < own.Grant:
 		return m.shrink(now, u, next, mine, own.Target)
+	case u.row.Sum() > m.usable(u) && own.Grant > m.fairShare(u, u.row):
+		return m.shrink(now, u, next, mine, m.fairShare(u, u.row))
 	case wanted > own.Grant:
+		u.shrinking = false
 		return m.grow(now, u, next, mine, wanted)
-	case wanted < own.Grant && idle && u.used.Open <= wanted:
-		return m.shrink(now, u, next, mine, wanted)
 	case wanted < own.Grant && idle:
-		return []Action{CloseConnections{Upstream: u.spec.ID, Keep: wanted}}
+		return m.shrink(now, u, next, mine, wanted)
 	}
+	u.shrinking = false
 	return nil
 }
 
@@ -112,29 +132,21 @@
 	return m.write(now, u, next)
 }
 
-// shrink writes the smaller grant once no more connections are open.
+// shrink bounds the connections first. It writes the smaller grant once a
+// later report of the use shows that no more are open.
 func (m *Machine) shrink(now time.Duration, u *upstream, next *Row, mine *Entry, to int) []Action {
-	if u.used.Open > to {
+	if !m.config.Rules.NoCeiling && (!u.shrinking || u.ceiling != to) {
+		u.shrinking, u.ceiling, u.reported = true, to, false
+		return []Action{CloseConnections{Upstream: u.spec.ID, Keep: to}}
+	}
+	if u.used.Open > to || !u.reported {
 		return nil
 	}
 	mine.Grant, mine.Target, mine.Wanted = to, to, m.desired(u)
 	if to == 0 && mine.Wanted == 0 {
 		next = next.without(m.config.Self)
 	}
-	return m.writeAndHint(now, u, next)
-}
-
-// writeAndHint writes a row that frees connections, and tells those who are
-// owed some.
-func (m *Machine) writeAndHint(now time.Duration, u *upstream, next *Row) []Action {
-	actions := m.write(now, u, next)
-	fair := m.fairShare(u, next)
-	for _, e := range next.Entries {
-		if e.Instance != m.config.Self && e.Grant < min(e.Wanted, fair) {
-			actions = append(actions, HintPeer{To: e.Instance, Upstream: u.spec.ID})
-		}
-	}
-	return actions
+	return m.write(now, u, next)
 }
 
 // grow takes what is free, and asks others to shrink for the rest.
@@ -146,14 +158,10 @@
 	mine.Grant += m.takeFree(u, next, mine.Grant, wanted, fair)
 	mine.Target = mine.Grant
 	asked := m.askToShrink(next, min(wanted, fair)-mine.Grant)
-	if *mine == before && len(asked) == 0 {
+	if *mine == before && !asked {
 		return nil
 	}
-	actions := m.write(now, u, next)
-	for _, id := range asked {
-		actions = append(actions, HintPeer{To: id, Upstream: u.spec.ID})
-	}
-	return actions
+	return m.write(now, u, next)
 }
 
 // takeFree returns how many of the free connections to take: up to the fair
@@ -193,21 +201,19 @@
 }
 
 // askToShrink lowers the targets of the largest holders until missing
-// connections will become free, and returns the instances that were asked. No
-// holder is asked to go to the fair share or below.
-func (m *Machine) askToShrink(row *Row, missing int) []model.InstanceID {
+// connections will become free, and reports whether any was lowered. No holder
+// is asked to go below this instance's own grant.
+func (m *Machine) askToShrink(row *Row, missing int) bool {
 	for _, e := range row.Entries {
 		missing -= e.Grant - e.Target
 	}
-	var asked []model.InstanceID
+	asked := false
 	for missing > 0 {
 		largest := m.largest(row)
 		if largest == nil || largest.Target-1 <= row.entry(m.config.Self).Grant {
 			break
 		}
-		if largest.Target == largest.Grant {
-			asked = append(asked, largest.Instance)
-		}
+		asked = true
 		largest.Target--
 		missing--
 	}
@@ -275,9 +281,9 @@
 		return nil
 	}
 	if left == 0 {
-		return m.writeAndHint(now, u, u.row.without(e.Instance))
+		return m.write(now, u, u.row.without(e.Instance))
 	}
 	next, mine := u.row.withEntry(e.Instance)
 	mine.Grant, mine.Target, mine.Wanted = left, left, 0
-	return m.writeAndHint(now, u, next)
+	return m.write(now, u, next)
 }
--- a/pkg/state/grants/table.go
+++ b/pkg/state/grants/table.go
@@ -32,7 +32,7 @@
 // applied, and plan puts the same row again, so that one of the two fails.
 func (m *Machine) settle(u *upstream) {
 	if u.version != u.pending.IfVersion {
-		u.pending, u.unsettled = nil, false
+		u.pending, u.unsettled, u.shrinking = nil, false, false
 	}
 }
 
@@ -47,7 +47,7 @@
 		m.settle(u)
 		return
 	}
-	u.pending, u.unsettled = nil, false
+	u.pending, u.unsettled, u.shrinking = nil, false, false
 	if e.Version >= u.version {
 		u.known, u.version, u.row = true, e.Version, e.Row
 		if u.row == nil {
--- a/pkg/state/grants/world_test.go
+++ b/pkg/state/grants/world_test.go
@@ -169,7 +169,6 @@
 		return
 	}
 	n.open++
-	w.report(n)
 }
 
 // changeMembers removes a member, which may be alive, or lets a removed one or
