Wait for all members after joining, before marks are trusted

Leases can be renewed by promises of the members while the table is down. An instance that joined meanwhile, with the table in reach, is in none of these promises: it took the window as the end of all earlier users, and acknowledged writes that the others then read past. Its floor was sampled too early for the same reason.

--- a/pkg/state/audit/month_test.go
+++ b/pkg/state/audit/month_test.go
@@ -141,7 +141,7 @@
 	m.home.Learn(m.now, &head, set)
 	m.ledger.SetGroups(head.Groups)
 	for _, member := range head.Members {
-		m.home.HandedOver(member.ID, head.Version)
+		m.home.HandedOver(m.now, member.ID, head.Version)
 	}
 	m.grant(grants.Confirmed{AskedAt: m.now, Version: head.MembersVersion, Members: []model.InstanceID{"i0"}})
 	m.grant(grants.Used{Upstream: "hire-a", Open: 4, Busy: 3})
--- a/pkg/state/marks/bench_test.go
+++ b/pkg/state/marks/bench_test.go
@@ -18,8 +18,8 @@
 		Groups: []model.GroupHead{{ID: hire, Generation: 1}},
 	}
 	home.Learn(0, head, marks.NewSet(1, head.Members))
+	home.HandedOver(0, "i1", 1)
 	home.SetFloor(0, hire, model.Mark{Generation: 1, LSN: 1})
-	home.HandedOver("i1", 1)
 	keys := make([]marks.Key, benchMarks)
 	for i := range keys {
 		keys[i] = marks.Key{Session: model.SessionID(fmt.Sprintf("caller-%06d", i)), Group: hire}
--- a/pkg/state/marks/doc.go
+++ b/pkg/state/marks/doc.go
@@ -24,6 +24,11 @@
 //     primary's position. That position is from then on the floor of every
 //     such session: the writes whose marks went to the earlier home are below.
 //
+//   - An instance that joins, or missed a version, knows no earlier homes; and
+//     leases renewed by promises of the other members may outlast its window. It
+//     waits until it has heard of every member at its row, and for L from then
+//     on. Until then it answers unknown, and its writes wait for the replicas.
+//
 //   - A home also waits until every member of the version has handed over the
 //     marks of lost writes, as of the head row in which the home saw the
 //     floor's generation.
--- a/pkg/state/marks/epoch.go
+++ b/pkg/state/marks/epoch.go
@@ -28,22 +28,16 @@
 }
 
 func (h *Home) setMembers(now time.Duration, set *Set) {
-	if len(h.epochs) > 0 {
-		last := h.epochs[len(h.epochs)-1].set.version
-		if set.version <= last {
-			return
-		}
-		if set.version > last+1 {
-			h.epochs = nil
-		}
+	known := len(h.epochs) > 0
+	if known && set.version <= h.newest().version {
+		return
 	}
-	settledAt := now + h.config.Lease.window()
-	if h.config.Rules.NoWindow {
-		settledAt = now
+	if !known || set.version > h.newest().version+1 {
+		h.join()
 	}
 	h.epochs = append(h.epochs, homeEpoch{
 		set:       set,
-		settledAt: settledAt,
+		settledAt: now + h.window(),
 		floors:    make(map[model.GroupID]floorState),
 	})
 	if len(h.epochs) > maxEpochs {
@@ -52,6 +46,38 @@
 	h.forgetMembers(set)
 }
 
+// window is the wait for users of an earlier version.
+func (h *Home) window() time.Duration {
+	if h.config.Rules.NoWindow {
+		return 0
+	}
+	return h.config.Lease.window()
+}
+
+func (h *Home) newest() *Set { return h.epochs[len(h.epochs)-1].set }
+
+// join starts anew after versions that this home does not know of. Their users
+// may have renewed their leases by promises of each other, without this home.
+// They are certainly gone when the lease has passed since the last member was
+// heard of at the present row.
+func (h *Home) join() {
+	h.epochs = nil
+	h.joining = !h.config.Rules.NoJoin
+	h.joinRow = h.row
+}
+
+// Joined reports whether the users of all versions that this home does not
+// know of are gone. Until then no write may be acknowledged because its mark
+// is stored; see Placement.Complete.
+func (h *Home) Joined(now time.Duration) bool {
+	return len(h.epochs) > 0 && !h.joining && now >= h.joinedFrom
+}
+
+// isDue reports whether the users of the versions before the epoch are gone.
+func (h *Home) isDue(at time.Duration, epoch *homeEpoch) bool {
+	return !h.joining && at >= max(epoch.settledAt, h.joinedFrom)
+}
+
 // forgetMembers drops what is kept of instances that are gone.
 func (h *Home) forgetMembers(set *Set) {
 	kept := make(map[model.InstanceID]model.RowVersion, len(set.members))
@@ -66,8 +92,12 @@
 // HandedOver says that a member, this instance included, has no more marks of
 // lost writes to hand over, neither from its Home nor from its Ledger, as of
 // the given version of the head row.
-func (h *Home) HandedOver(from model.InstanceID, row model.RowVersion) {
+func (h *Home) HandedOver(now time.Duration, from model.InstanceID, row model.RowVersion) {
 	h.handedOver[from] = max(row, h.handedOver[from])
+	if h.joining && len(h.epochs) > 0 && h.allHandedOver(h.newest(), h.joinRow) {
+		h.joining = false
+		h.joinedFrom = now + h.window()
+	}
 	h.settle()
 }
 
@@ -78,7 +108,7 @@
 	raised := false
 	for i := range h.epochs {
 		epoch := &h.epochs[i]
-		if _, sampled := epoch.floors[group]; !sampled && askedAt >= epoch.settledAt {
+		if _, sampled := epoch.floors[group]; !sampled && h.isDue(askedAt, epoch) {
 			epoch.floors[group] = floorState{row: h.row}
 			raised = true
 		}
@@ -94,7 +124,7 @@
 func (h *Home) NeedsFloor(now time.Duration, group model.GroupID) bool {
 	for i := range h.epochs {
 		epoch := &h.epochs[i]
-		if _, sampled := epoch.floors[group]; !sampled && now >= epoch.settledAt {
+		if _, sampled := epoch.floors[group]; !sampled && h.isDue(now, epoch) {
 			return true
 		}
 	}
--- a/pkg/state/marks/home.go
+++ b/pkg/state/marks/home.go
@@ -76,6 +76,8 @@
 	NoFloor bool
 	// NoRetire serves questions under any version.
 	NoRetire bool
+	// NoJoin trusts the window alone after versions that are not known.
+	NoJoin bool
 	// NoHandover answers without waiting for marks of lost writes.
 	NoHandover bool
 }
@@ -91,6 +93,10 @@
 	// handedOver holds, for each member, the head row as of which it has
 	// handed over the marks of lost writes.
 	handedOver map[model.InstanceID]model.RowVersion
+	// joining is true until all members were heard of at joinRow or later.
+	joining    bool
+	joinRow    model.RowVersion
+	joinedFrom time.Duration
 }
 
 // NewHome returns a home that knows no version.
--- a/pkg/state/marks/placement.go
+++ b/pkg/state/marks/placement.go
@@ -7,7 +7,8 @@
 	// the present home.
 	Targets []Target
 	// Complete is false while there may be readers at homes that this
-	// instance does not know of. The write may then be acknowledged only
+	// instance does not know of: StoreAt sets it by the window, and the caller
+	// clears it unless Home.Joined. The write may then be acknowledged only
 	// once all replicas in use have applied it.
 	Complete bool
 	stored   []bool
--- a/pkg/state/marks/search_test.go
+++ b/pkg/state/marks/search_test.go
@@ -36,6 +36,7 @@
 	mark := w.present()
 	key := marks.Key{Session: session, Group: hire}
 	placement, _ := n.view.StoreAt(n.clock(w.now), session)
+	placement.Complete = placement.Complete && n.home.Joined(n.clock(w.now))
 	for i, target := range placement.Targets {
 		call(w, target.Home, func(home *node) marks.StoreStatus {
 			return home.home.Store(key, mark, target.Version)
@@ -159,7 +160,7 @@
 			}
 		}
 	}
-	if len(members) > 1 && w.pick(2) == 0 {
+	if len(members) > 1 && w.pick(2) == 0 && w.mayChange() {
 		i := w.pick(len(members))
 		members[i].removed = true
 		members[i].dead = w.pick(2) == 0
@@ -175,6 +176,19 @@
 	w.learn(added, added.clock(w.now), w.head)
 }
 
+// round has all members learn of the head row at once, sample the primary and
+// hand over, as without faults. Instances that were removed do not notice.
+func (w *world) round() {
+	for _, member := range w.head.Members {
+		if n := w.find(member.ID); n != nil {
+			w.learn(n, n.clock(w.now), w.head)
+			w.sampleFloor(n)
+			w.handOver(n)
+		}
+	}
+	w.deliverAll()
+}
+
 func (w *world) step() {
 	w.now += time.Duration(w.pick(2)) * time.Millisecond
 	n := w.nodes[w.pick(len(w.nodes))]
@@ -200,9 +214,13 @@
 		w.now += lifetime / 2
 	case action < 23 && w.pick(6) == 0:
 		w.changeMembers()
-	case action < 24 && w.pick(12) == 0:
+	case action < 24 && w.pick(12) == 0 && w.mayChange():
 		w.failOver()
-	case action < 25 && len(w.flight) > 0 && w.pick(4) == 0:
+	case action < 25 && w.pick(5) == 0:
+		w.askPromises(n)
+	case action < 26 && w.pick(8) == 0:
+		w.round()
+	case action < 27 && len(w.flight) > 0 && w.pick(4) == 0:
 		i := w.pick(len(w.flight)) // the message is lost
 		w.flight = append(w.flight[:i], w.flight[i+1:]...)
 	case len(w.flight) > 0:
@@ -257,6 +275,7 @@
 		Entry("no wait for users of the earlier members", marks.Rules{NoWindow: true}),
 		Entry("no floor from the primary", marks.Rules{NoFloor: true}),
 		Entry("questions under any version", marks.Rules{NoRetire: true}),
+		Entry("no wait for all members after joining", marks.Rules{NoJoin: true}),
 		Entry("no handover of lost marks", marks.Rules{NoHandover: true}),
 	)
 })
--- a/pkg/state/marks/world_test.go
+++ b/pkg/state/marks/world_test.go
@@ -71,8 +71,10 @@
 	acked     map[model.SessionID]write
 	told      map[model.SessionID]model.Mark
 	violation error
-	served    int
-	warned    int
+	// promisedAt is when a member last promised to remove nobody.
+	promisedAt time.Duration
+	served     int
+	warned     int
 }
 
 func newWorld(pick chooser, rules marks.Rules) *world {
@@ -91,12 +93,14 @@
 	for _, n := range w.nodes {
 		w.learn(n, n.clock(w.now), w.head)
 	}
-	w.now += 2 * lifetime
-	for _, n := range w.nodes {
-		w.sampleFloor(n)
-		w.handOver(n)
+	for range 2 {
+		for _, n := range w.nodes {
+			w.sampleFloor(n)
+			w.handOver(n)
+		}
+		w.deliverAll()
+		w.now += 2 * lifetime
 	}
-	w.deliverAll()
 	return w
 }
 
@@ -183,6 +187,34 @@
 	})
 }
 
+// askPromises renews the node's lease without the table: each member that
+// knows no newer row promises to remove nobody and to seal nothing.
+func (w *world) askPromises(n *node) {
+	askedAt, row, set := n.clock(w.now), n.head.Version, n.set
+	missing := len(n.head.Members)
+	for _, member := range n.head.Members {
+		call(w, member.ID, func(to *node) bool {
+			given := to.head.Version == row
+			if given {
+				w.promisedAt = w.now
+			}
+			return given
+		}, func(given bool) {
+			if given {
+				missing--
+			}
+			if missing == 0 && !n.dead {
+				n.view.Confirm(askedAt, n.clock(w.now), set)
+			}
+		})
+	}
+}
+
+// mayChange reports whether no promise forbids a removal or a change of primary.
+func (w *world) mayChange() bool {
+	return w.promisedAt == 0 || w.now > w.promisedAt+lifetime+drift
+}
+
 // sampleFloor asks the primary; the sample is proven if the node's generation
 // is the present one.
 func (w *world) sampleFloor(n *node) {
@@ -213,7 +245,7 @@
 	}
 	row := n.head.Version
 	for _, member := range n.head.Members {
-		call(w, member.ID, func(to *node) bool { to.home.HandedOver(n.id, row); return true }, func(bool) {})
+		call(w, member.ID, func(to *node) bool { to.home.HandedOver(to.clock(w.now), n.id, row); return true }, func(bool) {})
 	}
 }
 
--- a/pkg/state/routing/share_test.go
+++ b/pkg/state/routing/share_test.go
@@ -166,10 +166,10 @@
 	s.view.Confirm(0, -time.Hour*20000, set)
 	for _, n := range s.nodes {
 		n.home.Learn(0, head, set)
-		n.home.SetFloor(0, group, at(1))
 		for _, other := range s.nodes {
-			n.home.HandedOver(other.id, 1)
+			n.home.HandedOver(0, other.id, 1)
 		}
+		n.home.SetFloor(0, group, at(1))
 	}
 }
 
