Drop marks only under a confirmed configuration

A home whose configuration is behind does not know of replicas that others already use, and dropped marks that those had not passed. It now keeps them until its configuration is that of the head row, within the lease.

--- a/pkg/coordination/control/ticks.go
+++ b/pkg/coordination/control/ticks.go
@@ -106,12 +106,22 @@
 		if state, found := l.view.Group(group.ID); found {
 			l.samples.prove(group, state)
 		}
-		if at, known := l.samples.passed(group, &l.view); known {
+		if at, known := l.samples.passed(group, &l.view); known && l.isConfirmed() {
 			l.config.Sessions.Passed(group.ID, at)
 		}
 	}
 }
 
+// isConfirmed reports whether the configuration in force is that of the head
+// row, within the lease. Otherwise other instances may use replicas that this
+// one does not know of, and marks have to be kept for them.
+func (l *Loop) isConfirmed() bool {
+	ref, _ := l.adoption.InForce()
+	head := l.view.Head
+	fresh := l.now() < l.view.ConfirmedFrom+l.config.Failover.PermitLifetime
+	return head != nil && ref.Revision >= head.Revision && fresh
+}
+
 func groupIDs(current *bundle.Bundle) []model.GroupID {
 	ids := make([]model.GroupID, 0, len(current.Groups))
 	for _, group := range current.Groups {
--- a/pkg/coordination/sessions/peer.go
+++ b/pkg/coordination/sessions/peer.go
@@ -42,5 +42,5 @@
 func (s *Service) HandedOver(from model.InstanceID, row model.RowVersion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.home.HandedOver(from, row)
+	s.home.HandedOver(s.config.Clock.Now(), from, row)
 }
--- a/pkg/coordination/sessions/write.go
+++ b/pkg/coordination/sessions/write.go
@@ -53,7 +53,9 @@
 // place tries once to store the mark at all the homes that need it.
 func (s *Service) place(ctx context.Context, key marks.Key, mark model.Mark) (progress marks.Progress, lost bool) {
 	s.mu.Lock()
-	placement, confirmed := s.view.StoreAt(s.config.Clock.Now(), key.Session)
+	now := s.config.Clock.Now()
+	placement, confirmed := s.view.StoreAt(now, key.Session)
+	placement.Complete = placement.Complete && s.home.Joined(now)
 	s.mu.Unlock()
 	if !confirmed {
 		return marks.PlacementAgain, false
