--- a/pkg/state/grants/machine.go
+++ b/pkg/state/grants/machine.go
@@ -258,20 +258,6 @@
 	return limit
 }
 
-// Held returns the connections to the upstream that need not be closed: the
-// grant, also while the lease has lapsed. None may be opened while Limit is 0.
-func (m *Machine) Held(id model.UpstreamID) int {
-	u := m.upstream(id)
-	if u == nil || !u.known {
-		return 0
-	}
-	held := u.row.held(m.config.Self)
-	if u.pending != nil {
-		held = min(held, u.pending.Row.held(m.config.Self))
-	}
-	return u.below(min(held, m.usable(u)))
-}
-
 // own returns what this instance may use of a row's grants.
 func (m *Machine) own(u *upstream, row *Row) int {
 	entry := row.entry(m.config.Self)
--- a/pkg/state/grants/row.go
+++ b/pkg/state/grants/row.go
@@ -7,14 +7,11 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// KeyPrefix is the prefix of the table's keys; the region and the upstream's
-// ID follow.
+// KeyPrefix is the prefix of the table's keys; the upstream's ID follows.
 const KeyPrefix = "grant/"
 
 // Key returns the table's key of an upstream's row.
-func Key(region string, upstream model.UpstreamID) string {
-	return KeyPrefix + region + "/" + string(upstream)
-}
+func Key(upstream model.UpstreamID) string { return KeyPrefix + string(upstream) }
 
 // Row is the stored value of an upstream's row. The sum of its grants never
 // exceeds what the upstream can give.
@@ -58,15 +55,6 @@
 	return nil
 }
 
-// held returns what an instance need not give back.
-func (r *Row) held(id model.InstanceID) int {
-	e := r.entry(id)
-	if e == nil {
-		return 0
-	}
-	return min(e.Grant, e.Target)
-}
-
 // withEntry returns a copy of r that has an entry for id, and that entry.
 func (r *Row) withEntry(id model.InstanceID) (*Row, *Entry) {
 	next := &Row{Entries: slices.Clone(r.Entries)}
