Tell members seldom that nothing is left to hand over

Every member told every other twice a second, which is 2,000 messages a second for each of 1,000 members. It is now six times after a new head row, while links to new members may not stand yet, and then each 10 s.

--- a/pkg/coordination/sessions/handover.go
+++ b/pkg/coordination/sessions/handover.go
@@ -36,6 +36,9 @@
 		}
 	}
 	s.HandedOver(s.config.Self, row)
+	if !s.announces(row) {
+		return
+	}
 	for _, member := range members {
 		if member.ID != s.config.Self {
 			s.config.Peers.HandedOver(member.ID, row)
@@ -43,6 +46,20 @@
 	}
 }
 
+// announces reports whether the members are told in this round that nothing is
+// left: in the first rounds after a new row, while links to new members may
+// not stand yet, and from then on seldom, so that the messages of many members
+// stay few.
+func (s *Service) announces(row model.RowVersion) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row != s.announcedRow {
+		s.announcedRow, s.rounds = row, 0
+	}
+	s.rounds++
+	return s.rounds <= announceRounds || s.rounds%announceInterval == 0
+}
+
 // handovers returns the marks to hand over as of the newest row.
 func (s *Service) handovers() (model.RowVersion, []model.Member, []marks.LostMark) {
 	s.mu.Lock()
--- a/pkg/coordination/sessions/sessions.go
+++ b/pkg/coordination/sessions/sessions.go
@@ -27,6 +27,13 @@
 	peerTimeout      = time.Second
 )
 
+// Rounds of handoverInterval in which members are told that nothing is left to
+// hand over: the first announceRounds of a row, and each announceInterval-th.
+const (
+	announceRounds   = 6
+	announceInterval = 20
+)
+
 // Clock gives the time since the process's start, from a monotonic clock.
 type Clock interface{ Now() time.Duration }
 
@@ -65,6 +72,9 @@
 	view   *marks.View
 	set    *marks.Set
 	row    model.RowVersion
+	// announcedRow and rounds count the rounds since the row was new.
+	announcedRow model.RowVersion
+	rounds       int
 	// members are those of the newest row.
 	members []model.Member
 	groups  map[model.GroupID]*groupState
