--- a/pkg/transport/pgfront/forward_test.go
+++ b/pkg/transport/pgfront/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,8 @@
 	lender  *pgforward.Lender
 	streams chan net.Conn
 	cut     bool
+	// served counts units that have ended at the lender.
+	served atomic.Int32
 }
 
 func (m *meshOfTwo) Forward(_ model.InstanceID, open *meshpb.ForwardOpen) (net.Conn, error) {
@@ -42,7 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
-	go m.lender.Serve(context.Background(), "a", open, far)
+	go func() {
+		m.lender.Serve(context.Background(), "a", open, far)
+		m.served.Add(1)
+	}()
 	select {
 	case m.streams <- near:
 	default:
@@ -115,6 +121,8 @@
 		Eventually(b.upstream.paused).Should(BeTrue())
 		Expect((<-mesh.streams).Close()).To(Succeed())
 		Expect(stateOf(<-done)).To(Equal("08007"))
+		Eventually(mesh.served.Load).Should(BeEquivalentTo(2))
+		Expect(pools.StatsOf("plugs-1").Idle).To(BeZero())
 		b.upstream.resume()
 		Eventually(b.upstream.open).Should(BeZero())
 	})
