--- a/testbench/load/config.go
+++ b/testbench/load/config.go
@@ -35,9 +35,11 @@
 	// Roam sends each request through an instance picked anew; otherwise a
 	// session keeps its instance.
 	Roam bool
-	// Tags sends the tags of the routes; without them all work goes to the
-	// primary.
+	// Tags sends the tags of the routes; without them no read states an age.
 	Tags bool
+	// Replicas gives each group its replicas; without them all work goes to
+	// the primary.
+	Replicas bool
 	// Lag is the replication lag of all replicas.
 	Lag time.Duration
 	// StickOne stops the replay of one replica in each group.
@@ -73,6 +75,7 @@
 		Mix:       Mix{Write: 15, Once: 5, Fresh: 30, Aged: 50},
 		Roam:      true,
 		Tags:      true,
+		Replicas:  true,
 	}
 }
 
@@ -127,6 +130,8 @@
 		c.Roam, err = strconv.ParseBool(value)
 	case "tags":
 		c.Tags, err = strconv.ParseBool(value)
+	case "replicas":
+		c.Replicas, err = strconv.ParseBool(value)
 	case "stick":
 		c.StickOne, err = strconv.ParseBool(value)
 	case "network":
--- a/testbench/load/run.go
+++ b/testbench/load/run.go
@@ -67,6 +67,9 @@
 
 // Run starts a cluster, loads it and returns the figures.
 func Run(ctx context.Context, config Config) (*Report, error) {
+	if !config.Replicas {
+		config.Profile = withoutReplicas(config.Profile)
+	}
 	c, err := cluster.Start(ctx, cluster.Options{
 		Profile: config.Profile, Instances: config.Instances, Tuning: config.Tuning,
 	})
@@ -78,6 +81,17 @@
 	return report, errors.Join(err, c.Stop())
 }
 
+// withoutReplicas returns p with only the first upstream of each group.
+func withoutReplicas(p profile.Profile) profile.Profile {
+	groups := make([]profile.Group, 0, len(p.Groups))
+	for _, group := range p.Groups {
+		group.Upstreams = group.Upstreams[:1]
+		groups = append(groups, group)
+	}
+	p.Groups = groups
+	return p
+}
+
 func (r *runner) run(ctx context.Context) (*Report, error) {
 	if err := r.prepare(ctx); err != nil {
 		return nil, err
