--- a/testbench/load/config.go
+++ b/testbench/load/config.go
@@ -29,6 +29,8 @@
 	Rate     float64
 	Warmup   time.Duration
 	Duration time.Duration
+	// Good is the latency up to which an answer counts as goodput.
+	Good time.Duration
 	// Sessions is the number of sessions of each caller.
 	Sessions int
 	Mix      Mix
@@ -71,6 +73,7 @@
 		Rate:      200,
 		Warmup:    8 * time.Second,
 		Duration:  10 * time.Second,
+		Good:      time.Second,
 		Sessions:  16,
 		Mix:       Mix{Write: 15, Once: 5, Fresh: 30, Aged: 50},
 		Roam:      true,
@@ -116,6 +119,8 @@
 		c.Duration, err = time.ParseDuration(value)
 	case "warmup":
 		c.Warmup, err = time.ParseDuration(value)
+	case "good":
+		c.Good, err = time.ParseDuration(value)
 	case "lag":
 		c.Lag, err = time.ParseDuration(value)
 	case "kill":
--- a/testbench/load/report.go
+++ b/testbench/load/report.go
@@ -30,7 +30,7 @@
 	// session was too far behind.
 	Shed     int                     `json:"shed"`
 	Outcomes map[history.Outcome]int `json:"outcomes"`
-	// Goodput is the number of requests a second that were answered.
+	// Goodput is the number of requests a second that were answered in time.
 	Goodput float64 `json:"goodput"`
 	// Attempts is the mean number of attempts of a request.
 	Attempts     float64                  `json:"attempts"`
@@ -76,17 +76,20 @@
 		histograms: make(map[history.Kind]*hdrhistogram.Histogram),
 		answers:    make([]float64, end.Sub(measured)/seriesStep),
 	}
-	attempts := 0
+	attempts, inTime := 0, 0
 	for _, request := range r.done {
 		if request.at.Before(measured) {
 			continue
 		}
 		report.Requests++
 		attempts += request.Attempts
+		if request.Outcome == history.OutcomeOK && request.End.Sub(request.at) <= r.config.Good {
+			inTime++
+		}
 		report.add(request, measured)
 	}
 	report.Offered = float64(report.Requests+r.shed) / seconds
-	report.Goodput = float64(report.Outcomes[history.OutcomeOK]) / seconds
+	report.Goodput = float64(inTime) / seconds
 	report.Attempts = float64(attempts) / float64(max(1, report.Requests))
 	reads, replica := replay.CountReads(r.cluster.Layout, entries)
 	report.ReplicaShare = float64(replica) / float64(max(1, reads))
