--- a/testbench/history/check.go
+++ b/testbench/history/check.go
@@ -128,12 +128,18 @@
 // deposed checks that no acknowledged write was committed by a primary after
 // the start of a newer timeline in its group.
 func (c *checker) deposed(ops []Op, log []upstreamd.Entry) {
+	var promotions []upstreamd.Entry
+	for _, entry := range log {
+		if entry.Kind == upstreamd.EntryPromote {
+			promotions = append(promotions, entry)
+		}
+	}
 	for _, op := range ops {
 		if !op.Kind.IsWrite() || op.Outcome != OutcomeOK {
 			continue
 		}
 		for _, commit := range c.commits[op.Value] {
-			if by, late := replacedBefore(commit, log); late {
+			if by, late := replacedBefore(commit, promotions); late {
 				c.report(PromiseDeposed, "%s was acknowledged by %s on timeline %d after %s had started timeline %d",
 					op.Value, commit.Upstream, commit.Timeline, by.Upstream, by.Timeline)
 			}
@@ -141,9 +147,9 @@
 	}
 }
 
-func replacedBefore(commit upstreamd.Entry, log []upstreamd.Entry) (upstreamd.Entry, bool) {
-	for _, entry := range log {
-		newer := entry.Kind == upstreamd.EntryPromote && entry.Group == commit.Group && entry.Timeline > commit.Timeline
+func replacedBefore(commit upstreamd.Entry, promotions []upstreamd.Entry) (upstreamd.Entry, bool) {
+	for _, entry := range promotions {
+		newer := entry.Group == commit.Group && entry.Timeline > commit.Timeline
 		if newer && entry.Seq < commit.Seq {
 			return entry, true
 		}
--- a/testbench/load/report.go
+++ b/testbench/load/report.go
@@ -26,7 +26,7 @@
 	// Offered is the number of requests a second that arrived.
 	Offered  float64 `json:"offered"`
 	Requests int     `json:"requests"`
-	// Shed is the number of requests that the tool dropped because their
+	// Shed is the number of requests that the tool gave up unsent because their
 	// session was too far behind.
 	Shed     int                     `json:"shed"`
 	Outcomes map[history.Outcome]int `json:"outcomes"`
--- a/testbench/load/run.go
+++ b/testbench/load/run.go
@@ -224,8 +224,18 @@
 	}
 }
 
+// serve sends a request. One whose deadline has passed while it waited for its
+// session is given up without being sent.
 func (r *runner) serve(ctx context.Context, u *user, next arrival) {
-	request := u.session.Do(ctx, next.kind, next.key, r.config.Policy, func(attempt int) (caller.Target, bool) {
+	policy := r.config.Policy
+	policy.Deadline -= time.Since(next.at)
+	if policy.Deadline <= 0 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.shed++
+		return
+	}
+	request := u.session.Do(ctx, next.kind, next.key, policy, func(attempt int) (caller.Target, bool) {
 		instance := r.cluster.Instances[(next.via+attempt)%r.config.Instances]
 		return caller.Target{
 			Address: instance.ToCallers.Address(), Group: u.group.ID, Database: u.group.Database,
