--- a/testbench/load/config.go
+++ b/testbench/load/config.go
@@ -29,15 +29,19 @@
 	Rate     float64
 	Warmup   time.Duration
 	Duration time.Duration
+	// Good is the latency up to which an answer counts as goodput.
+	Good time.Duration
 	// Sessions is the number of sessions of each caller.
 	Sessions int
 	Mix      Mix
 	// Roam sends each request through an instance picked anew; otherwise a
 	// session keeps its instance.
 	Roam bool
-	// Tags sends the tags of the routes; without them all work goes to the
-	// primary.
+	// Tags sends the tags of the routes; without them no read states an age.
 	Tags bool
+	// Replicas gives each group its replicas; without them all work goes to
+	// the primary.
+	Replicas bool
 	// Lag is the replication lag of all replicas.
 	Lag time.Duration
 	// StickOne stops the replay of one replica in each group.
@@ -69,10 +73,12 @@
 		Rate:      200,
 		Warmup:    8 * time.Second,
 		Duration:  10 * time.Second,
+		Good:      time.Second,
 		Sessions:  16,
 		Mix:       Mix{Write: 15, Once: 5, Fresh: 30, Aged: 50},
 		Roam:      true,
 		Tags:      true,
+		Replicas:  true,
 	}
 }
 
@@ -113,6 +119,8 @@
 		c.Duration, err = time.ParseDuration(value)
 	case "warmup":
 		c.Warmup, err = time.ParseDuration(value)
+	case "good":
+		c.Good, err = time.ParseDuration(value)
 	case "lag":
 		c.Lag, err = time.ParseDuration(value)
 	case "kill":
@@ -127,6 +135,8 @@
 		c.Roam, err = strconv.ParseBool(value)
 	case "tags":
 		c.Tags, err = strconv.ParseBool(value)
+	case "replicas":
+		c.Replicas, err = strconv.ParseBool(value)
 	case "stick":
 		c.StickOne, err = strconv.ParseBool(value)
 	case "network":
--- a/testbench/load/run.go
+++ b/testbench/load/run.go
@@ -67,6 +67,9 @@
 
 // Run starts a cluster, loads it and returns the figures.
 func Run(ctx context.Context, config Config) (*Report, error) {
+	if !config.Replicas {
+		config.Profile = withoutReplicas(config.Profile)
+	}
 	c, err := cluster.Start(ctx, cluster.Options{
 		Profile: config.Profile, Instances: config.Instances, Tuning: config.Tuning,
 	})
@@ -78,6 +81,17 @@
 	return report, errors.Join(err, c.Stop())
 }
 
+// withoutReplicas returns p with only the first upstream of each group.
+func withoutReplicas(p profile.Profile) profile.Profile {
+	groups := make([]profile.Group, 0, len(p.Groups))
+	for _, group := range p.Groups {
+		group.Upstreams = group.Upstreams[:1]
+		groups = append(groups, group)
+	}
+	p.Groups = groups
+	return p
+}
+
 func (r *runner) run(ctx context.Context) (*Report, error) {
 	if err := r.prepare(ctx); err != nil {
 		return nil, err
@@ -210,8 +224,18 @@
 	}
 }
 
+// serve sends a request. One whose deadline has passed while it waited for its
+// session is given up without being sent.
 func (r *runner) serve(ctx context.Context, u *user, next arrival) {
-	request := u.session.Do(ctx, next.kind, next.key, r.config.Policy, func(attempt int) (caller.Target, bool) {
+	policy := r.config.Policy
+	policy.Deadline -= time.Since(next.at)
+	if policy.Deadline <= 0 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.shed++
+		return
+	}
+	request := u.session.Do(ctx, next.kind, next.key, policy, func(attempt int) (caller.Target, bool) {
 		instance := r.cluster.Instances[(next.via+attempt)%r.config.Instances]
 		return caller.Target{
 			Address: instance.ToCallers.Address(), Group: u.group.ID, Database: u.group.Database,
