Count the drift of the clocks for the whole of the promise time

A newcomer that no older member confirms waited for MaxPromiseTime + L + drift, where drift is the bound for L only. Over 5 minutes clocks within that bound run apart by up to 20 s, so an old holder could still renew by promises.

--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -187,6 +187,13 @@
 	return nil
 }
 
+// promiseWait is the time after which no permit is left that was renewed by
+// promises of the members of an older row. Clocks run apart for all of it.
+func (c Config) promiseWait() time.Duration {
+	drift := time.Duration(float64(c.Drift) * float64(c.MaxPromiseTime) / float64(c.PermitLifetime))
+	return c.MaxPromiseTime + drift + c.confirmWait()
+}
+
 // confirmWait is the time after which no permit from before a known row is
 // left.
 func (c Config) confirmWait() time.Duration { return c.PermitLifetime + c.Drift }
--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -115,7 +115,7 @@
 		return
 	}
 	byConfirmation := s.confirmed && m.now-s.confirmedAt >= m.cfg.confirmWait()
-	byTime := m.now-s.registeredAt >= m.cfg.MaxPromiseTime+m.cfg.confirmWait()
+	byTime := m.now-s.registeredAt >= m.cfg.promiseWait()
 	if byConfirmation || byTime {
 		s.established = true
 		return
