--- a/pkg/state/failover/candidate.go
+++ b/pkg/state/failover/candidate.go
@@ -33,24 +33,24 @@
 }
 
 // best returns the most advanced replica, or nil. With routes that wait for
-// replicas, so many must be reachable that one of them has every such write.
+// replicas, so many must be eligible that one of them has every such write.
 func (m *Machine) best(g *group, gh model.GroupHead, except model.UpstreamID) *upstream {
 	var best *upstream
-	reachable := 0
+	eligible := 0
 	for _, up := range g.upstreams {
 		if !m.isReplica(gh, up) {
 			continue
 		}
-		reachable++
 		if up.spec.Leaving || up.spec.ID == except {
 			continue
 		}
+		eligible++
 		if best == nil || up.probe.LSN > best.probe.LSN {
 			best = up
 		}
 	}
 	replicas := len(g.upstreams) - 1
-	if g.sync > 0 && reachable < replicas-g.sync+1 {
+	if g.sync > 0 && eligible < replicas-g.sync+1 {
 		return nil
 	}
 	return best
--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -48,12 +48,8 @@
 		Rules:          w.rules,
 	})
 	w.nodes = append(w.nodes, n)
-	spec := failover.GroupSpec{ID: groupID}
-	for _, up := range w.ups {
-		spec.Upstreams = append(spec.Upstreams, failover.UpstreamSpec{ID: up.id, DataCentre: up.dc})
-	}
 	start := w.between(timeBeforeFirstTick, 10*timeBeforeFirstTick)
-	w.after(start, func() { n.handle(failover.BundleAdopted{Groups: []failover.GroupSpec{spec}}) })
+	w.after(start, func() { n.handle(w.bundle(0)) })
 	n.every(start, tickInterval, func() { n.handle(failover.Tick{}) })
 	n.every(start, probeInterval, n.probeAll)
 	n.every(start, w.writeEvery, n.write)
@@ -61,6 +57,15 @@
 	return n
 }
 
+// bundle is the configuration of the group, whose routes wait for sync replicas.
+func (w *world) bundle(sync int) failover.BundleAdopted {
+	spec := failover.GroupSpec{ID: groupID, SyncReplicas: sync}
+	for _, up := range w.ups {
+		spec.Upstreams = append(spec.Upstreams, failover.UpstreamSpec{ID: up.id, DataCentre: up.dc})
+	}
+	return failover.BundleAdopted{Groups: []failover.GroupSpec{spec}}
+}
+
 // every repeats run while the node lives and is not paused.
 func (n *node) every(start, interval time.Duration, run func()) {
 	n.w.after(start, func() {
--- a/pkg/state/failover/search/scenario_test.go
+++ b/pkg/state/failover/search/scenario_test.go
@@ -160,6 +160,32 @@
 		Expect(twinRead(failover.Rules{TrustTimeline: true})).To(ContainSubstring("diverged"))
 	})
 
+	It("promotes no replica that may lack writes for which a route waited", func() {
+		w := quiet(0)
+		for _, n := range w.nodes {
+			n.handle(w.bundle(1))
+		}
+		w.server("u1").alive = false
+		w.server("u2").alive = false
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Generation).To(BeEquivalentTo(1))
+		w.server("u2").alive = true
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Generation).To(BeEquivalentTo(2))
+	})
+
+	It("does not pass over a leaving replica that alone may have such writes", func() {
+		w := quiet(0)
+		leaving := w.bundle(1)
+		leaving.Groups[0].Upstreams[1].Leaving = true
+		for _, n := range w.nodes {
+			n.handle(leaving)
+		}
+		w.server("u1").alive = false
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Generation).To(BeEquivalentTo(1))
+	})
+
 	It("keeps its permits when an instance stops gracefully", func() {
 		w := quiet(6)
 		w.nodes[1].handle(failover.StopAsked{})
