--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -27,6 +27,7 @@
 	defaultPromoteWait      = 2 * time.Second
 	defaultDrainWait        = 500 * time.Millisecond
 	defaultSwitchWait       = 4 * time.Second
+	defaultLeavingRetry     = 10 * time.Second
 	defaultMaxPromiseTime   = 5 * time.Minute
 	defaultSuspectAfter     = 1500 * time.Millisecond
 	defaultEvictAfter       = time.Minute
@@ -85,6 +86,9 @@
 	// SwitchWait bounds the time of a planned switch; after it, the old primary
 	// goes on.
 	SwitchWait time.Duration
+	// LeavingRetry is the time between two orders to switch away from a primary
+	// that is leaving.
+	LeavingRetry time.Duration
 	// MaxPromiseTime bounds the time for which permits are renewed by promises
 	// alone.
 	MaxPromiseTime time.Duration
@@ -156,6 +160,7 @@
 	set(&c.PromoteWait, defaultPromoteWait)
 	set(&c.DrainWait, defaultDrainWait)
 	set(&c.SwitchWait, defaultSwitchWait)
+	set(&c.LeavingRetry, defaultLeavingRetry)
 	set(&c.MaxPromiseTime, defaultMaxPromiseTime)
 	set(&c.SuspectAfter, defaultSuspectAfter)
 	set(&c.ReachableFor, defaultReachableFor)
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -28,6 +28,9 @@
 	// ownLost is true while this instance's own probes have lost the primary.
 	ownLost bool
 	planned plannedSwitch
+	// leftAt is when this instance last ordered a switch away from a leaving
+	// primary.
+	leftAt time.Duration
 	// deposed holds the upstreams that were found to take writes in this
 	// generation although they are not its primary.
 	deposed map[model.UpstreamID]bool
--- a/pkg/state/failover/search/faults_test.go
+++ b/pkg/state/failover/search/faults_test.go
@@ -24,7 +24,7 @@
 var allFaults = []fault{
 	killPrimary, killPrimary, killAnyServer, pauseNode, pauseNode, cutNode, cutNode, cutTable, tableDown, tableSlow,
 	badNetwork, killNode, joinNode, partition, partition, stickReplica, askSwitch, pausePromoter, pausePromoter,
-	cutPrimary, killCandidate, killCandidate, unlistNode, pauseInRead, cutAtSeal,
+	cutPrimary, killCandidate, killCandidate, unlistNode, pauseInRead, cutAtSeal, leaveServer,
 }
 
 // schedule plans the faults of a run.
@@ -257,6 +257,22 @@
 	w.after(lasts, func() { w.net.cutDC = nil })
 }
 
+// leaveServer marks an upstream as leaving, on one instance after the other.
+func leaveServer(w *world, lasts time.Duration) {
+	up := w.ups[w.rng.IntN(len(w.ups))]
+	w.setLeaving(up, true)
+	w.after(lasts, func() { w.setLeaving(up, false) })
+}
+
+func (w *world) setLeaving(up *server, leaving bool) {
+	up.leaving = leaving
+	for _, n := range w.nodes {
+		w.after(w.between(0, 2*time.Second), func() {
+			n.deliver(func() { n.handle(w.bundle(0)) })
+		})
+	}
+}
+
 func stickReplica(w *world, lasts time.Duration) {
 	up := w.ups[w.rng.IntN(len(w.ups))]
 	up.stuck = true
--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -61,7 +61,7 @@
 func (w *world) bundle(sync int) failover.BundleAdopted {
 	spec := failover.GroupSpec{ID: groupID, SyncReplicas: sync}
 	for _, up := range w.ups {
-		spec.Upstreams = append(spec.Upstreams, failover.UpstreamSpec{ID: up.id, DataCentre: up.dc})
+		spec.Upstreams = append(spec.Upstreams, failover.UpstreamSpec{ID: up.id, DataCentre: up.dc, Leaving: up.leaving})
 	}
 	return failover.BundleAdopted{Groups: []failover.GroupSpec{spec}}
 }
--- a/pkg/state/failover/search/scenario_test.go
+++ b/pkg/state/failover/search/scenario_test.go
@@ -186,6 +186,20 @@
 		Expect(w.table.group().Generation).To(BeEquivalentTo(1))
 	})
 
+	It("is switched away from a primary that is leaving", func() {
+		w := quiet(0)
+		leaving := w.bundle(0)
+		leaving.Groups[0].Upstreams[0].Leaving = true
+		for _, n := range w.nodes {
+			n.handle(leaving)
+		}
+		w.continueFor(scenarioFor)
+		Expect(w.table.group().Primary).NotTo(BeEquivalentTo("u1"))
+		Expect(w.table.group().Generation).To(BeEquivalentTo(2))
+		Expect(w.lostWrites()).To(BeZero())
+		Expect(w.longestPause(settled)).To(BeNumerically("<", time.Second))
+	})
+
 	It("keeps its permits when an instance stops gracefully", func() {
 		w := quiet(6)
 		w.nodes[1].handle(failover.StopAsked{})
--- a/pkg/state/failover/search/server_test.go
+++ b/pkg/state/failover/search/server_test.go
@@ -23,6 +23,7 @@
 	// lag is how far its replay stays behind, in bytes.
 	lag       model.LSN
 	stuck     bool
+	leaving   bool
 	changedAt time.Duration
 }
 
--- a/pkg/state/failover/switch.go
+++ b/pkg/state/failover/switch.go
@@ -47,8 +47,27 @@
 	return ""
 }
 
+// leavePrimary orders a planned switch away from a primary that is leaving. The
+// first heard member in rank does so, and again after LeavingRetry if it fails.
+func (m *Machine) leavePrimary(g *group, gh model.GroupHead) {
+	primary := g.upstream(gh.Primary)
+	if primary == nil || !primary.spec.Leaving || g.planned.asked {
+		return
+	}
+	if g.leftAt != 0 && m.now-g.leftAt < m.cfg.LeavingRetry {
+		return
+	}
+	target := m.best(g, gh, "")
+	if target == nil || m.refuseSwitch(g, target.spec.ID) != "" || m.rank("leave/"+string(g.id), "") != 0 {
+		return
+	}
+	g.leftAt = m.now
+	g.planned = plannedSwitch{asked: true, target: target.spec.ID, at: m.now}
+}
+
 // decideSwitchSeal seals the group for a planned switch.
 func (m *Machine) decideSwitchSeal(g *group, gh model.GroupHead, changes *edits) {
+	m.leavePrimary(g, gh)
 	if !g.planned.asked {
 		return
 	}
