--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -27,6 +27,7 @@
 	defaultPromoteWait      = 2 * time.Second
 	defaultDrainWait        = 500 * time.Millisecond
 	defaultSwitchWait       = 4 * time.Second
+	defaultLeavingRetry     = 10 * time.Second
 	defaultMaxPromiseTime   = 5 * time.Minute
 	defaultSuspectAfter     = 1500 * time.Millisecond
 	defaultEvictAfter       = time.Minute
@@ -85,6 +86,9 @@
 	// SwitchWait bounds the time of a planned switch; after it, the old primary
 	// goes on.
 	SwitchWait time.Duration
+	// LeavingRetry is the time between two orders to switch away from a primary
+	// that is leaving.
+	LeavingRetry time.Duration
 	// MaxPromiseTime bounds the time for which permits are renewed by promises
 	// alone.
 	MaxPromiseTime time.Duration
@@ -123,6 +127,8 @@
 	EstablishedAtOnce bool
 	// RemoveAtOnce removes an evicted member without waiting.
 	RemoveAtOnce bool
+	// IgnoreDrift waits for the permit lifetime on the promoter's own clock.
+	IgnoreDrift bool
 	// DetectAlone seals on the view of one instance.
 	DetectAlone bool
 	// TrustTimeline uses every replica on the head's timeline, although two
@@ -154,6 +160,7 @@
 	set(&c.PromoteWait, defaultPromoteWait)
 	set(&c.DrainWait, defaultDrainWait)
 	set(&c.SwitchWait, defaultSwitchWait)
+	set(&c.LeavingRetry, defaultLeavingRetry)
 	set(&c.MaxPromiseTime, defaultMaxPromiseTime)
 	set(&c.SuspectAfter, defaultSuspectAfter)
 	set(&c.ReachableFor, defaultReachableFor)
@@ -187,6 +194,18 @@
 	return nil
 }
 
+// promiseWait is the time after which no permit is left that was renewed by
+// promises of the members of an older row. Clocks run apart for all of it.
+func (c Config) promiseWait() time.Duration {
+	drift := time.Duration(float64(c.Drift) * float64(c.MaxPromiseTime) / float64(c.PermitLifetime))
+	return c.MaxPromiseTime + drift + c.confirmWait()
+}
+
 // confirmWait is the time after which no permit from before a known row is
 // left.
-func (c Config) confirmWait() time.Duration { return c.PermitLifetime + c.Drift }
+func (c Config) confirmWait() time.Duration {
+	if c.Rules.IgnoreDrift {
+		return c.PermitLifetime
+	}
+	return c.PermitLifetime + c.Drift
+}
