Tell a session of a loss from the instance's own ledger

While the home cannot answer, as when it was lost together with the primary, the instance that acknowledged the lost write still knows of it, and now tells the session on its next read there. The search checks this.

--- a/pkg/coordination/sessions/read.go
+++ b/pkg/coordination/sessions/read.go
@@ -8,8 +8,19 @@
 )
 
 // Ask returns what the session's reads in the group have to respect. The
-// status is AskUnknown if the home cannot be asked or cannot tell.
+// status is AskUnknown if the home cannot be asked or cannot tell. A loss that
+// this instance's own ledger knows of is told in any case.
 func (s *Service) Ask(ctx context.Context, key marks.Key) marks.Answer {
+	answer := s.askHome(ctx, key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lost, found := s.ledger.Lost(key); found {
+		return marks.Answer{Status: marks.AskLost, Mark: lost.Max(answer.Mark)}
+	}
+	return answer
+}
+
+func (s *Service) askHome(ctx context.Context, key marks.Key) marks.Answer {
 	s.mu.Lock()
 	target, confirmed := s.view.ReadFrom(s.config.Clock.Now(), key.Session)
 	if confirmed && target.Home == s.config.Self {
--- a/pkg/state/marks/epoch.go
+++ b/pkg/state/marks/epoch.go
@@ -91,13 +91,17 @@
 
 // HandedOver says that a member, this instance included, has no more marks of
 // lost writes to hand over, neither from its Home nor from its Ledger, as of
-// the given version of the head row.
+// the given version of the head row. It is called for this instance in each
+// round.
 func (h *Home) HandedOver(now time.Duration, from model.InstanceID, row model.RowVersion) {
 	h.handedOver[from] = max(row, h.handedOver[from])
 	if h.joining && len(h.epochs) > 0 && h.allHandedOver(h.newest(), h.joinRow) {
 		h.joining = false
 		h.joinedFrom = now + h.window()
 	}
+	for _, group := range h.groups {
+		group.expireLostFloor(now)
+	}
 	h.settle()
 }
 
--- a/pkg/state/marks/group.go
+++ b/pkg/state/marks/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"gypsumdock/pkg/state/model"
 )
@@ -19,6 +20,8 @@
 	// lostFloor is a floor that did not survive: any session without a mark
 	// of its own may have lost a write, and is told so once.
 	lostFloor model.Mark
+	// lostSince is when lostFloor was noticed.
+	lostSince time.Duration
 	// toldFloor holds the sessions that were told of lostFloor.
 	toldFloor map[model.SessionID]bool
 	maxLost   int
@@ -43,13 +46,14 @@
 // setGeneration takes a newer generation. Marks that survived are carried over
 // to it. The others become lost, and from then on stand for the start of the
 // generation: where one was missed, it is not certain that they were lost.
-func (g *groupMarks) setGeneration(head model.GroupHead) {
+func (g *groupMarks) setGeneration(now time.Duration, head model.GroupHead) {
 	if head.Generation <= g.head.Generation {
 		return
 	}
 	g.head = head
 	if g.isLost(g.floor) {
 		g.lostFloor = g.lostFloor.Max(g.floor)
+		g.lostSince = now
 		g.toldFloor = make(map[model.SessionID]bool)
 	}
 	g.floor = g.carryOver(g.floor)
@@ -123,6 +127,16 @@
 	g.toldFloor[session] = true
 }
 
+// floorLossMemory is how long sessions are told of a lost floor. Later most
+// sessions without a mark have come since, and lost nothing.
+const floorLossMemory = time.Hour
+
+func (g *groupMarks) expireLostFloor(now time.Duration) {
+	if now >= g.lostSince+floorLossMemory {
+		g.lostFloor, g.toldFloor = model.Mark{}, nil
+	}
+}
+
 func (g *groupMarks) raiseFloor(at model.Mark) { g.floor = g.floor.Max(at) }
 
 func (g *groupMarks) store(session model.SessionID, mark model.Mark, limit int) {
--- a/pkg/state/marks/home.go
+++ b/pkg/state/marks/home.go
@@ -118,7 +118,7 @@
 	h.row = head.Version
 	h.setMembers(now, set)
 	for _, group := range head.Groups {
-		h.group(group.ID).setGeneration(group)
+		h.group(group.ID).setGeneration(now, group)
 	}
 }
 
--- a/pkg/state/marks/ledger.go
+++ b/pkg/state/marks/ledger.go
@@ -62,10 +62,23 @@
 	l.group(key.Group).store(key.Session, mark, l.maxMarks)
 }
 
+// Lost returns the mark up to which writes of the session, acknowledged by this
+// instance, did not survive and the session was not told yet. It answers also
+// while the session's home cannot.
+func (l *Ledger) Lost(key Key) (model.Mark, bool) {
+	group, found := l.groups[key.Group]
+	if !found {
+		return model.Mark{}, false
+	}
+	mark, lost := group.lost[key.Session]
+	return mark, lost
+}
+
 // SetGroups takes the state of the groups from the head row.
 func (l *Ledger) SetGroups(groups []model.GroupHead) {
 	for _, head := range groups {
-		l.group(head.ID).setGeneration(head)
+		// A ledger has a floor only if it overflowed, and tells no session of it.
+		l.group(head.ID).setGeneration(0, head)
 	}
 }
 
