--- a/testbench/slopes/measure.go
+++ b/testbench/slopes/measure.go
@@ -114,7 +114,7 @@
 	case name == `gypsumdock_mesh_bytes_total{direction="out"}`:
 		m.MeshOutKB += rate / kilo
 	case strings.HasPrefix(name, platformCalls) && rate > 0:
-		m.Calls[strings.TrimPrefix(name, platformCalls)] = rate
+		m.Calls[strings.TrimPrefix(name, platformCalls)] += rate
 	case strings.HasPrefix(name, "gypsumdock_answers_total") && strings.Contains(name, `"ran"`):
 		m.Answered += rate
 	}
