Send the status less often in a large region, and once

Each instance sent its status to each peer twice a second and, as it announced its configuration again each second, once more. The heartbeat between instances is another message; what only the status brings is the revision of a peer, and a newer head row or revision sooner than the next read of the head row. A new revision is still announced at once. A region of more than 20 members now gets it every 25 ms times its members.

--- a/pkg/coordination/control/actions.go
+++ b/pkg/coordination/control/actions.go
@@ -101,7 +101,7 @@
 		l.granting.adopted(a.Bundle)
 		l.step(specOf(a.Bundle))
 	case adoption.Announce:
-		l.announce()
+		l.announceNew(a.Ref)
 	case adoption.Report:
 		l.reportAdoption(a)
 	}
@@ -120,9 +120,18 @@
 	l.post(adoptionInput{adoption.Fetched{Ref: order.Ref, From: order.From, Data: data, Failed: err != nil}})
 }
 
+// announceNew tells peers of a configuration that they were not told of. The
+// status tells them again.
+func (l *Loop) announceNew(ref adoption.Ref) {
+	if ref != l.announced {
+		l.announce()
+	}
+}
+
 // announce tells peers the status of this instance.
 func (l *Loop) announce() {
 	ref, _ := l.adoption.InForce()
+	l.announced = ref
 	status := Status{
 		Ref:      ref,
 		Leaving:  l.leaving,
--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -20,12 +20,17 @@
 const (
 	tickInterval      = 50 * time.Millisecond
 	statusInterval    = 500 * time.Millisecond
+	catchUpInterval   = 500 * time.Millisecond
 	instancesInterval = 2 * time.Second
 	platformTimeout   = 2 * time.Second
 	inputQueue        = 1024
 	maxHeadReads      = 8
 )
 
+// statusSpacing is the least time between two statuses of an instance to any of
+// its peers, so that a large region's statuses come less often.
+const statusSpacing = 25 * time.Millisecond
+
 // Config is what a Loop needs.
 type Config struct {
 	Self     model.Member
@@ -72,8 +77,10 @@
 	probes   *probes
 	granting *granting
 	peers    map[model.InstanceID]PeerStatus
-	leaving  bool
-	ticks    ticks
+	// announced is the configuration that peers were last told of.
+	announced adoption.Ref
+	leaving   bool
+	ticks     ticks
 }
 
 // heldBundle is a bundle's bytes.
--- a/pkg/coordination/control/ticks.go
+++ b/pkg/coordination/control/ticks.go
@@ -36,13 +36,13 @@
 	if due(now, adoption.TickInterval, &l.ticks.adoption) {
 		l.adopt(adoption.Tick{})
 	}
-	if due(now, statusInterval, &l.ticks.status) {
+	if due(now, statusEvery(len(l.view.Members)), &l.ticks.status) {
 		l.announce()
 	}
 	if due(now, instancesInterval, &l.ticks.instances) {
 		l.tasks.Go(l.listInstances)
 	}
-	if due(now, statusInterval, &l.ticks.behind) {
+	if due(now, catchUpInterval, &l.ticks.behind) {
 		l.catchUp()
 	}
 	if due(now, grantInterval, &l.ticks.grants) {
@@ -51,6 +51,12 @@
 	l.followReplicas()
 }
 
+// statusEvery is the time between two statuses to a peer, by the members of
+// the region.
+func statusEvery(members int) time.Duration {
+	return max(statusInterval, time.Duration(members)*statusSpacing)
+}
+
 // drained tells the failover machine of groups without writes in flight.
 func (l *Loop) drained() {
 	for _, group := range l.view.Groups {
