--- a/pkg/coordination/control/bench_test.go
+++ b/pkg/coordination/control/bench_test.go
@@ -202,6 +202,12 @@
 			made := newBenchLoop(b, size.groups, size.members)
 			benchInput(b, made, made.view(0))
 		})
+		b.Run(name+"PromiseAsked", func(b *testing.B) {
+			made := newBenchLoop(b, size.groups, size.members)
+			benchInput(b, made, failoverInput{failover.PeerReceived{
+				From: made.head.Members[1].ID, Message: failover.PromiseAsked{Round: 1, MembersVersion: 1, HeadVersion: 1},
+			}})
+		})
 		b.Run(name+"HeadRead", func(b *testing.B) {
 			made := newBenchLoop(b, size.groups, size.members)
 			for b.Loop() {
