Read the platform's list less often in a large region

Each instance read the list every 2 s, 500 reads a second for 1,000 instances. A region of more than 40 members now reads it every 50 ms times its members: the first that finds a member missing tells the others through the head row, so that the region as a whole still sees the list 20 times a second.

--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -27,9 +27,14 @@
 	maxHeadReads      = 8
 )
 
-// statusSpacing is the least time between two statuses of an instance to any of
-// its peers, so that a large region's statuses come less often.
-const statusSpacing = 25 * time.Millisecond
+// The least times between two messages or calls, over all members of a region.
+const (
+	// statusSpacing is that between two statuses that an instance sends.
+	statusSpacing = 25 * time.Millisecond
+	// instancesSpacing is that between two reads of the platform's list by any
+	// instance.
+	instancesSpacing = 50 * time.Millisecond
+)
 
 // Config is what a Loop needs.
 type Config struct {
--- a/pkg/coordination/control/ticks.go
+++ b/pkg/coordination/control/ticks.go
@@ -39,7 +39,7 @@
 	if due(now, statusEvery(len(l.view.Members)), &l.ticks.status) {
 		l.announce()
 	}
-	if due(now, instancesInterval, &l.ticks.instances) {
+	if due(now, instancesEvery(len(l.view.Members)), &l.ticks.instances) {
 		l.tasks.Go(l.listInstances)
 	}
 	if due(now, catchUpInterval, &l.ticks.behind) {
@@ -57,6 +57,13 @@
 	return max(statusInterval, time.Duration(members)*statusSpacing)
 }
 
+// instancesEvery is the time between two reads of the platform's list, by the
+// members of the region. The first that finds a member missing tells the others
+// through the head row.
+func instancesEvery(members int) time.Duration {
+	return max(instancesInterval, time.Duration(members)*instancesSpacing)
+}
+
 // drained tells the failover machine of groups without writes in flight.
 func (l *Loop) drained() {
 	for _, group := range l.view.Groups {
