--- a/pkg/coordination/control/loop.go
+++ b/pkg/coordination/control/loop.go
@@ -20,12 +20,22 @@
 const (
 	tickInterval      = 50 * time.Millisecond
 	statusInterval    = 500 * time.Millisecond
+	catchUpInterval   = 500 * time.Millisecond
 	instancesInterval = 2 * time.Second
 	platformTimeout   = 2 * time.Second
 	inputQueue        = 1024
 	maxHeadReads      = 8
 )
 
+// The least times between two messages or calls, over all members of a region.
+const (
+	// statusSpacing is that between two statuses that an instance sends.
+	statusSpacing = 25 * time.Millisecond
+	// instancesSpacing is that between two reads of the platform's list by any
+	// instance.
+	instancesSpacing = 50 * time.Millisecond
+)
+
 // Config is what a Loop needs.
 type Config struct {
 	Self     model.Member
@@ -72,8 +82,10 @@
 	probes   *probes
 	granting *granting
 	peers    map[model.InstanceID]PeerStatus
-	leaving  bool
-	ticks    ticks
+	// announced is the configuration that peers were last told of.
+	announced adoption.Ref
+	leaving   bool
+	ticks     ticks
 }
 
 // heldBundle is a bundle's bytes.
