Give the slot back before a write waits for its mark

Seen: an instance crash with one replica of each group stuck stopped a group's writes for up to 7.4 s. Writes whose session has its home on the dead instance wait for every replica, so until their deadline, and each held one of the two slots meanwhile.

--- a/pkg/coordination/engine/admit.go
+++ b/pkg/coordination/engine/admit.go
@@ -141,11 +141,25 @@
 	return verdict.New(verdict.NoUpstream, verdict.NotRun, "the replica is out of use").WithRetryAfter(e.advice())
 }
 
+// Answered gives back the slot of t while its answer waits for the marks and
+// the replicas, so that a home that does not answer takes no slots.
+func (e *Engine) Answered(t *traffic.Ticket) {
+	if t.Slot == noSlot {
+		return
+	}
+	e.lane(t.Upstream.ID).leave(admission.UnitID(t.Slot))
+	t.Slot = noSlot
+}
+
+// noSlot marks a ticket whose slot was given back.
+const noSlot = 0
+
 // Done gives back the slot of t.
 func (e *Engine) Done(t *traffic.Ticket, r traffic.Result) {
 	e.stats.done.Add(1)
 	e.uncount(t)
-	e.lane(t.Upstream.ID).leave(admission.UnitID(t.Slot), r)
+	e.Answered(t)
+	e.lane(t.Upstream.ID).note(r)
 }
 
 // advice returns when a refused caller may come back, spread out so that
--- a/pkg/coordination/engine/engine_test.go
+++ b/pkg/coordination/engine/engine_test.go
@@ -90,6 +90,19 @@
 		Expect(w.engine.MayAcknowledge(ctx, ticket, 500)).To(BeNil())
 	})
 
+	It("holds no slot while its mark is stored", func(ctx SpecContext) {
+		for range slots {
+			w.engine.Answered(admit(ctx, ""))
+		}
+		ticket := admit(ctx, "")
+		w.engine.Answered(ticket)
+		w.engine.Done(ticket, traffic.Result{})
+		Expect(w.engine.InFlight()).To(Equal(slots))
+		for range slots {
+			admit(ctx, "")
+		}
+	})
+
 	It("is refused at its deadline as not run when no slot becomes free", func(ctx SpecContext) {
 		for range slots {
 			admit(ctx, "")
--- a/pkg/coordination/engine/lane.go
+++ b/pkg/coordination/engine/lane.go
@@ -109,13 +109,20 @@
 		"no slot of the upstream became free within the deadline").WithRetryAfter(l.engine.advice())
 }
 
+// note takes the latency of a unit that was executed.
+func (l *lane) note(r traffic.Result) {
+	if r.Outcome != verdict.Ran {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency += (r.Latency - l.latency) / latencyWeight
+}
+
 // leave gives back a slot.
-func (l *lane) leave(id admission.UnitID, r traffic.Result) {
+func (l *lane) leave(id admission.UnitID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Outcome == verdict.Ran {
-		l.latency += (r.Latency - l.latency) / latencyWeight
-	}
 	l.settle(l.queue.Release(l.now(), id, l.engine.config.Random()))
 }
 
--- a/pkg/coordination/observe/engine.go
+++ b/pkg/coordination/observe/engine.go
@@ -113,6 +113,13 @@
 	return refused
 }
 
+// Answered calls the engine's Answered, where it has one.
+func (e *Engine) Answered(t *traffic.Ticket) {
+	if inner, has := e.inner.(traffic.Answered); has {
+		inner.Answered(t)
+	}
+}
+
 // Done counts and calls the engine's Done.
 func (e *Engine) Done(t *traffic.Ticket, r traffic.Result) {
 	e.inner.Done(t, r)
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -42,7 +42,11 @@
 		Token:   string(i.settings.Platform.Token),
 	})
 	i.prober = pgprobe.New(applicationOf(i.self.ID))
-	if i.pools, err = pgback.New(pgback.Config{MinIdle: minIdle, Application: applicationOf(i.self.ID)}); err != nil {
+	if i.pools, err = pgback.New(pgback.Config{
+		MinIdle:     minIdle,
+		Application: applicationOf(i.self.ID),
+		Logger:      i.logger,
+	}); err != nil {
 		return err
 	}
 	peers, err := i.assembleControl()
