Read a replica's timeline from what it receives; probe at once for a switch

PostgreSQL's control file shows a replica's timeline only from its next restart point on, so that replicas would look unusable after a change of primary. The timeline that a replica receives is taken instead. Since it may receive the new timeline before it has replayed its start, such a replica counts as having applied the generation before; a spec shows that it is not counted by a write that waits for replicas. A planned switch asks for probes at once, and a changed password starts the probes anew.

--- a/pkg/coordination/control/actions.go
+++ b/pkg/coordination/control/actions.go
@@ -21,6 +21,8 @@
 			l.tasks.Go(func() { l.writeHead(a) })
 		case failover.SendPeer:
 			l.config.Peers.Send(a.To, a.Message)
+		case failover.ProbeNow:
+			l.probes.hurry(a.Group)
 		case failover.Promote:
 			l.promote(a)
 		case failover.Report:
--- a/pkg/coordination/control/probes.go
+++ b/pkg/coordination/control/probes.go
@@ -17,8 +17,18 @@
 
 // probe is the goroutine of one upstream, and what it was started with.
 type probe struct {
-	address string
-	cancel  context.CancelFunc
+	group  model.GroupID
+	target target
+	cancel context.CancelFunc
+	// now asks for a probe before the interval has passed.
+	now chan struct{}
+}
+
+// target is what a probe connects to. A change of it starts the probe anew.
+type target struct{ address, database, user, password string }
+
+func targetOf(group *bundle.Group, upstream *bundle.Upstream) target {
+	return target{upstream.Address, group.Database, group.User, group.Password}
 }
 
 func newProbes(loop *Loop) *probes {
@@ -43,17 +53,36 @@
 	}
 }
 
-// ensure starts the probe of upstream, anew if its address changed.
+// ensure starts the probe of upstream, anew if its target changed.
 func (p *probes) ensure(group *bundle.Group, upstream *bundle.Upstream) {
 	if running, exists := p.running[upstream.ID]; exists {
-		if running.address == upstream.Address {
+		if running.target == targetOf(group, upstream) {
 			return
 		}
 		running.cancel()
 	}
 	ctx, cancel := context.WithCancel(p.loop.ctx)
-	p.running[upstream.ID] = probe{address: upstream.Address, cancel: cancel}
-	p.loop.tasks.Go(func() { p.loop.probeUpstream(ctx, group, upstream) })
+	started := probe{
+		group:  group.ID,
+		target: targetOf(group, upstream),
+		cancel: cancel,
+		now:    make(chan struct{}, 1),
+	}
+	p.running[upstream.ID] = started
+	p.loop.tasks.Go(func() { p.loop.probeUpstream(ctx, group, upstream, started.now) })
+}
+
+// hurry asks for a probe of every upstream of the group at once.
+func (p *probes) hurry(group model.GroupID) {
+	for _, running := range p.running {
+		if running.group != group {
+			continue
+		}
+		select {
+		case running.now <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (p *probes) stop() {
@@ -62,8 +91,10 @@
 	}
 }
 
-// probeUpstream probes until ctx ends.
-func (l *Loop) probeUpstream(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) {
+// probeUpstream probes at each interval, and when asked to, until ctx ends.
+func (l *Loop) probeUpstream(
+	ctx context.Context, group *bundle.Group, upstream *bundle.Upstream, now <-chan struct{},
+) {
 	ticker := time.NewTicker(l.config.ProbeInterval)
 	defer ticker.Stop()
 	for {
@@ -72,6 +103,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-now:
 		}
 	}
 }
--- a/pkg/coordination/engine/engine_test.go
+++ b/pkg/coordination/engine/engine_test.go
@@ -90,6 +90,16 @@
 		Expect(w.engine.MayAcknowledge(ctx, ticket, 500)).To(BeNil())
 	})
 
+	It("does not count a replica that has not replayed the start of the generation", func(ctx SpecContext) {
+		w.publish(func(s *state) { s.startLSN = applied + 100 })
+		ticket := admit(ctx, tagSynced)
+		ticket.Deadline = time.Now().Add(20 * time.Millisecond)
+		Expect(w.engine.MayAcknowledge(ctx, ticket, applied)).To(refusedWith(verdict.DeadlineExceeded, verdict.MayHaveRun))
+		ticket.Deadline = time.Now().Add(time.Minute)
+		w.positions.set(replicaA, applied+100)
+		Expect(w.engine.MayAcknowledge(ctx, ticket, applied)).To(BeNil())
+	})
+
 	It("holds no slot while its mark is stored", func(ctx SpecContext) {
 		for range slots {
 			w.engine.Answered(admit(ctx, ""))
--- a/pkg/coordination/engine/watch.go
+++ b/pkg/coordination/engine/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumdock/pkg/state/bundle"
+	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
 )
 
@@ -96,7 +97,7 @@
 // askReplica asks a replica once for its position. It counts in the group's
 // generation only if the replica is in use before and after.
 func (e *Engine) askReplica(group *bundle.Group, upstream *bundle.Upstream) (model.Mark, bool) {
-	number, used := e.replicaOf(group.ID, upstream.ID)
+	before, used := e.replicaOf(group.ID, upstream.ID)
 	if !used {
 		return model.Mark{}, false
 	}
@@ -105,18 +106,16 @@
 	e.stats.watches.Add(1)
 	lsn, err := e.config.Positions.Replayed(ctx, group, upstream)
 	after, stillUsed := e.replicaOf(group.ID, upstream.ID)
-	if err != nil || !stillUsed || after != number {
+	if err != nil || !stillUsed || after.Generation != before.Generation {
 		return model.Mark{}, false
 	}
-	return model.Mark{Generation: number, LSN: lsn}, true
+	return after.Applied(lsn), true
 }
 
-// replicaOf returns the generation that the replica follows, if it is in use.
-func (e *Engine) replicaOf(group model.GroupID, id model.UpstreamID) (model.Generation, bool) {
+// replicaOf returns the state of the group, and whether the replica is in use.
+func (e *Engine) replicaOf(group model.GroupID, id model.UpstreamID) (failover.GroupView, bool) {
 	snapshot := e.snapshot.Load()
-	found, exists := snapshot.Routing.Group(group)
-	if !exists {
-		return 0, false
-	}
-	return found.Generation, isUsable(found.Upstreams, id)
+	view, known := snapshot.View.Group(group)
+	routed, found := snapshot.Routing.Group(group)
+	return view, known && found && routed.Generation == view.Generation && isUsable(routed.Upstreams, id)
 }
--- a/pkg/coordination/engine/world_test.go
+++ b/pkg/coordination/engine/world_test.go
@@ -106,6 +106,7 @@
 	generation model.Generation
 	sealed     bool
 	freshAt    time.Duration
+	startLSN   model.LSN
 }
 
 type world struct {
@@ -174,7 +175,7 @@
 			Members: make([]failover.MemberView, 1),
 			Groups: []failover.GroupView{{
 				ID: group, Generation: w.state.generation, Primary: primary,
-				PermitUntil: permitLifetime, Sealed: w.state.sealed,
+				StartLSN: w.state.startLSN, PermitUntil: permitLifetime, Sealed: w.state.sealed,
 			}},
 		},
 		Routing: &routing.Snapshot{Groups: []routing.Group{made}, Options: routing.DefaultOptions()},
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -116,3 +116,13 @@
 	}
 	return GroupView{}, false
 }
+
+// Applied returns the mark of what a replica of the generation has applied. One
+// that receives the generation's timeline but has not yet replayed its start
+// has applied the generation before.
+func (g GroupView) Applied(at model.LSN) model.Mark {
+	if at < g.StartLSN && g.Generation > 0 {
+		return model.Mark{Generation: g.Generation - 1, LSN: at}
+	}
+	return model.Mark{Generation: g.Generation, LSN: at}
+}
--- a/pkg/transport/pgprobe/pgprobe.go
+++ b/pkg/transport/pgprobe/pgprobe.go
@@ -23,7 +23,8 @@
 	queryTimeline   = "SELECT timeline_id FROM pg_control_checkpoint()"
 	queryCurrent    = "SELECT pg_current_wal_lsn()"
 	queryReplayed   = "SELECT pg_last_wal_replay_lsn()"
-	queryReceiver   = "SELECT sender_host, sender_port FROM pg_stat_wal_receiver"
+	queryReceiver   = "SELECT sender_host, sender_port, received_tli FROM pg_stat_wal_receiver"
+	receiverFields  = 3
 	queryPromote    = "SELECT pg_promote()"
 	valueTrue       = "t"
 
@@ -184,7 +185,7 @@
 		sample.LSN, err = position(ctx, conn, queryCurrent)
 		return sample, err
 	}
-	if sample.Follows, err = receiver(ctx, conn); err != nil {
+	if err = sample.addReceiver(ctx, conn); err != nil {
 		return Sample{}, err
 	}
 	sample.LSN, err = position(ctx, conn, queryReplayed)
@@ -196,6 +197,10 @@
 	if err != nil {
 		return 0, err
 	}
+	return parseTimeline(text)
+}
+
+func parseTimeline(text string) (uint32, error) {
 	parsed, err := strconv.ParseUint(text, 10, 32)
 	if err != nil {
 		return 0, errors.Wrap(err, "timeline")
@@ -211,25 +216,32 @@
 	return model.ParseLSN(text)
 }
 
-// receiver returns the address that a replica streams from, or an invalid one
-// while it streams from none.
-func receiver(ctx context.Context, conn *pgconn.PgConn) (netip.AddrPort, error) {
+// addReceiver takes the address that a replica streams from, and the timeline
+// that it receives. That of the control file lags behind until the replica's
+// next restart point. A replica that streams from nothing keeps what is known.
+func (s *Sample) addReceiver(ctx context.Context, conn *pgconn.PgConn) error {
 	rows, err := query(ctx, conn, queryReceiver)
 	if err != nil {
-		return netip.AddrPort{}, err
+		return err
 	}
-	if len(rows) != 1 || len(rows[0]) != 2 {
-		return netip.AddrPort{}, nil
+	if len(rows) != 1 || len(rows[0]) != receiverFields {
+		return nil
 	}
 	host, err := netip.ParseAddr(string(rows[0][0]))
 	if err != nil {
-		return netip.AddrPort{}, nil
+		return nil
 	}
 	port, err := strconv.ParseUint(string(rows[0][1]), 10, 16)
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "sender port")
+		return errors.Wrap(err, "sender port")
 	}
-	return netip.AddrPortFrom(host, uint16(port)), nil
+	received, err := parseTimeline(string(rows[0][2]))
+	if err != nil {
+		return err
+	}
+	s.Follows = netip.AddrPortFrom(host, uint16(port))
+	s.Timeline = max(s.Timeline, received)
+	return nil
 }
 
 // value runs a statement that returns one value.
