--- a/testbench/upstreamd/conn.go
+++ b/testbench/upstreamd/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -97,114 +96,6 @@
 	_ = c.loop()
 }
 
-// waitThawed waits while the node is frozen; false means that it was killed.
-func (n *node) waitThawed(ctx context.Context) bool {
-	n.mu.Lock()
-	thawed := n.thawed
-	n.mu.Unlock()
-	select {
-	case <-thawed:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
-}
-
-// enter counts a connection in, unless the limit is reached.
-func (n *node) enter() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.spec.Connections > 0 && n.open >= n.spec.Connections {
-		n.refused.Add(1)
-		return false
-	}
-	n.open++
-	n.peak = max(n.peak, n.open)
-	return true
-}
-
-func (n *node) leave() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.open--
-}
-
-// start runs the startup of a connection. It reports whether the connection
-// counts against the limit.
-func (c *conn) start(raw net.Conn) (bool, error) {
-	startup, err := c.receiveStartup(raw)
-	if err != nil {
-		return false, err
-	}
-	c.application = startup.Parameters["application_name"]
-	if !c.node.enter() {
-		return false, c.refuse(sql.Errorf(sql.CodeTooManyConnections, "sorry, too many clients already"))
-	}
-	if err = sleep(c.alive, c.node.currentCosts().connect()); err != nil {
-		return true, err
-	}
-	if err = c.authenticate(startup); err != nil {
-		return true, err
-	}
-	return true, c.greet()
-}
-
-func (c *conn) receiveStartup(raw net.Conn) (*pgproto3.StartupMessage, error) {
-	for {
-		message, err := c.backend.ReceiveStartupMessage()
-		if err != nil {
-			return nil, err
-		}
-		switch m := message.(type) {
-		case *pgproto3.StartupMessage:
-			return m, nil
-		case *pgproto3.CancelRequest:
-			cancelBackend(m)
-			return nil, errTerminated
-		default:
-			if _, err = raw.Write([]byte{'N'}); err != nil {
-				return nil, err
-			}
-		}
-	}
-}
-
-func cancelBackend(request *pgproto3.CancelRequest) {
-	found, isOpen := backends.open.Load(request.ProcessID)
-	if !isOpen {
-		return
-	}
-	target := found.(*conn)
-	if string(target.secret) != string(request.SecretKey) {
-		return
-	}
-	target.mu.Lock()
-	defer target.mu.Unlock()
-	if target.cancel != nil {
-		target.cancel()
-	}
-}
-
-func (c *conn) greet() error {
-	c.secret = make([]byte, secretBytes)
-	if _, err := rand.Read(c.secret); err != nil {
-		return err
-	}
-	c.backend.Send(&pgproto3.AuthenticationOk{})
-	for _, status := range []pgproto3.ParameterStatus{
-		{Name: "server_version", Value: serverVersion},
-		{Name: "server_encoding", Value: "UTF8"},
-		{Name: "client_encoding", Value: "UTF8"},
-		{Name: "DateStyle", Value: "ISO, MDY"},
-		{Name: "TimeZone", Value: "UTC"},
-		{Name: "integer_datetimes", Value: "on"},
-		{Name: "standard_conforming_strings", Value: "on"},
-	} {
-		c.backend.Send(&status)
-	}
-	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.id, SecretKey: c.secret})
-	return c.ready()
-}
-
 func (c *conn) ready() error {
 	status := byte('I')
 	if tx := c.exec.tx; tx != nil {
@@ -225,14 +116,6 @@
 	return c.backend.Flush()
 }
 
-func (c *conn) refuse(cause *sql.Error) error {
-	c.sendError(cause, "FATAL")
-	if err := c.flush(); err != nil {
-		return err
-	}
-	return cause
-}
-
 func (c *conn) sendError(err error, severity string) {
 	failure := &sql.Error{Code: "XX000", Message: err.Error()}
 	_ = errors.As(err, &failure)
@@ -361,62 +244,3 @@
 		delete(c.prepared, s.Name)
 	}
 }
-
-// sendRows sends up to limit rows, or all when limit is 0, and reports whether
-// the result is at its end.
-func (c *conn) sendRows(res result, formats []int16, limit int) (bool, error) {
-	for sent := 0; res.next != nil; sent++ {
-		if limit > 0 && sent == limit {
-			c.backend.Send(&pgproto3.PortalSuspended{})
-			return false, nil
-		}
-		row, more := res.next()
-		if !more {
-			break
-		}
-		c.backend.Send(encodeRow(row, formats))
-		if sent%flushRows == flushRows-1 {
-			if err := c.flush(); err != nil {
-				return false, err
-			}
-		}
-	}
-	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
-	return true, nil
-}
-
-func encodeRow(row []sql.Value, formats []int16) *pgproto3.DataRow {
-	encoded := &pgproto3.DataRow{Values: make([][]byte, 0, len(row))}
-	for i, value := range row {
-		encoded.Values = append(encoded.Values, value.Encode(formatOf(formats, i)))
-	}
-	return encoded
-}
-
-// formatOf follows the protocol: no code is text, one code holds for all.
-func formatOf(formats []int16, i int) int16 {
-	switch {
-	case len(formats) == 0:
-		return sql.FormatText
-	case len(formats) == 1:
-		return formats[0]
-	case i < len(formats):
-		return formats[i]
-	default:
-		return sql.FormatText
-	}
-}
-
-func describeColumns(items []sql.Item, formats []int16) *pgproto3.RowDescription {
-	description := &pgproto3.RowDescription{}
-	for i, item := range items {
-		description.Fields = append(description.Fields, pgproto3.FieldDescription{
-			Name:         []byte(item.Name),
-			DataTypeOID:  uint32(sql.TypeOf(item.Expr)),
-			DataTypeSize: -1,
-			TypeModifier: -1,
-			Format:       formatOf(formats, i),
-		})
-	}
-	return description
-}
