--- a/pkg/coordination/engine/route.go
+++ b/pkg/coordination/engine/route.go
@@ -45,7 +45,8 @@
 		}
 		request.Exclude = decision.Upstream
 	}
-	return u.primaryOnly(request)
+	u.sendToPrimary(&request)
+	return u.choose(&request)
 }
 
 func (u *unit) choose(request *routing.Request) (routing.Decision, *verdict.Error) {
@@ -55,14 +56,13 @@
 	return routing.Choose(e.config.Clock.Now(), snapshot.Routing, *request)
 }
 
-// primaryOnly chooses the primary for a read whose floor is not known.
-func (u *unit) primaryOnly(request routing.Request) (routing.Decision, *verdict.Error) {
+// sendToPrimary makes the request one that only the primary may serve.
+func (u *unit) sendToPrimary(request *routing.Request) {
 	route := *u.route
 	route.ReadOnly = false
 	request.Route = &route
 	request.ReadOnly = false
 	request.Exclude = ""
-	return u.choose(&request)
 }
 
 // learnFloor asks for the session's marks and, for a read without a stated
@@ -104,10 +104,7 @@
 func (u *unit) sample(ctx context.Context, request *routing.Request) {
 	at, known := u.engine.samplePrimary(ctx, u.group.ID)
 	if !known {
-		route := *u.route
-		route.ReadOnly = false
-		request.Route = &route
-		request.ReadOnly = false
+		u.sendToPrimary(request)
 		return
 	}
 	request.Kind = routing.FloorSample
