Take what callers were told before the upstreams' log

The check read the log first, and then what callers had been told, while they went on; a write acknowledged in between was missing from the log. Ruled out: a lost commit, since the log of that upstream had the entries after it, and the spec passes alone. The order is turned round, which is as strict: what was told must stand in a log that is read afterwards.

--- a/testbench/promises/promises_test.go
+++ b/testbench/promises/promises_test.go
@@ -121,9 +121,12 @@
 
 func (w *world) violations(ctx context.Context, running *workload.Running) []history.Violation {
 	GinkgoHelper()
+	// What callers were told is taken first: all of it must then stand in the
+	// log, which goes on while callers run.
+	told := running.Log.Ops()
 	entries, err := w.Upstreams.Log(ctx, 0)
 	Expect(err).NotTo(HaveOccurred())
-	return history.Check(running.Log.Ops(), entries)
+	return history.Check(told, entries)
 }
 
 // awaitPrimary waits until the group has a primary other than old.
