--- a/testbench/promises/deposed_test.go
+++ b/testbench/promises/deposed_test.go
@@ -75,6 +75,14 @@
 		Consistently(func() []history.Violation { return w.violations(ctx, running) }, "3s").Should(BeEmpty())
 	})
 
+	It("and is replaced although the first instance is paused as soon as all are ready", func(ctx context.Context) {
+		w := start(ctx, quick())
+		old := w.group().Upstreams[0].ID
+		Expect(w.Instances[0].Freeze()).To(Succeed())
+		w.upstream(ctx, old, upstreamd.ActionKill)
+		w.awaitPrimary(ctx, old)
+	})
+
 	It("when an instance was paused past its permit and goes on", func(ctx context.Context) {
 		w := start(ctx, quick())
 		running := w.run(ctx, nil)
