Compare the login of connections in one place; drop what nothing reads

The pool, the prober and the control goroutine's probes each compared address, database, user and password for themselves; bundle.Group.Login serves all three.

--- a/pkg/coordination/control/probes.go
+++ b/pkg/coordination/control/probes.go
@@ -18,19 +18,12 @@
 // probe is the goroutine of one upstream, and what it was started with.
 type probe struct {
 	group  model.GroupID
-	target target
+	login  bundle.Login
 	cancel context.CancelFunc
 	// now asks for a probe before the interval has passed.
 	now chan struct{}
 }
 
-// target is what a probe connects to. A change of it starts the probe anew.
-type target struct{ address, database, user, password string }
-
-func targetOf(group *bundle.Group, upstream *bundle.Upstream) target {
-	return target{upstream.Address, group.Database, group.User, group.Password}
-}
-
 func newProbes(loop *Loop) *probes {
 	return &probes{loop: loop, running: make(map[model.UpstreamID]probe)}
 }
@@ -53,10 +46,10 @@
 	}
 }
 
-// ensure starts the probe of upstream, anew if its target changed.
+// ensure starts the probe of upstream, anew if its login changed.
 func (p *probes) ensure(group *bundle.Group, upstream *bundle.Upstream) {
 	if running, exists := p.running[upstream.ID]; exists {
-		if running.target == targetOf(group, upstream) {
+		if running.login == group.Login(upstream) {
 			return
 		}
 		running.cancel()
@@ -64,7 +57,7 @@
 	ctx, cancel := context.WithCancel(p.loop.ctx)
 	started := probe{
 		group:  group.ID,
-		target: targetOf(group, upstream),
+		login:  group.Login(upstream),
 		cancel: cancel,
 		now:    make(chan struct{}, 1),
 	}
--- a/pkg/coordination/engine/watch.go
+++ b/pkg/coordination/engine/watch.go
@@ -16,9 +16,7 @@
 
 // watch follows a replica's position while units wait for it to reach theirs.
 type watch struct {
-	mu sync.Mutex
-	// applied is the newest position seen.
-	applied model.Mark
+	mu      sync.Mutex
 	waiting map[*waiter]struct{}
 	asking  bool
 }
@@ -85,7 +83,6 @@
 func (w *watch) reached(at model.Mark) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.applied = at
 	for waiting := range w.waiting {
 		if !at.Before(waiting.mark) {
 			close(waiting.reached)
--- a/pkg/transport/mesh/link.go
+++ b/pkg/transport/mesh/link.go
@@ -35,7 +35,6 @@
 	queue   chan *meshpb.Envelope
 	pending map[uint64]chan *meshpb.Envelope
 	lastID  uint64
-	heard   time.Time
 }
 
 func newLink(ctx context.Context, config Config, peer model.Member) *link {
@@ -161,7 +160,6 @@
 func (l *link) deliver(message *meshpb.Envelope) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard = time.Now()
 	waiting, exists := l.pending[message.GetCallId()]
 	if !exists {
 		return
@@ -175,7 +173,6 @@
 	defer l.mu.Unlock()
 	l.session = session
 	l.queue = make(chan *meshpb.Envelope, l.config.QueueMessages)
-	l.heard = time.Now()
 	return l.queue
 }
 
@@ -281,9 +278,3 @@
 	defer l.mu.Unlock()
 	return l.session != nil
 }
-
-func (l *link) lastHeard() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.heard
-}
--- a/pkg/transport/mesh/node.go
+++ b/pkg/transport/mesh/node.go
@@ -6,7 +6,6 @@
 	"net"
 	"slices"
 	"sync"
-	"time"
 
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
@@ -143,16 +142,6 @@
 	return err == nil && found.connected()
 }
 
-// LastHeard returns when the last frame of the peer arrived on our session,
-// or the zero time.
-func (n *Node) LastHeard(id model.InstanceID) time.Time {
-	found, err := n.link(id)
-	if err != nil {
-		return time.Time{}
-	}
-	return found.lastHeard()
-}
-
 func (n *Node) link(id model.InstanceID) (*link, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/pkg/transport/pgback/dial.go
+++ b/pkg/transport/pgback/dial.go
@@ -138,7 +138,5 @@
 	if o.generation < other.generation {
 		return false
 	}
-	sameLogin := o.group.User == other.group.User && o.group.Password == other.group.Password
-	sameDatabase := o.group.Database == other.group.Database
-	return sameLogin && sameDatabase && o.upstream.Address == other.upstream.Address
+	return o.group.Login(o.upstream) == other.group.Login(other.upstream)
 }
--- a/pkg/transport/pgprobe/lane.go
+++ b/pkg/transport/pgprobe/lane.go
@@ -12,20 +12,13 @@
 // lane is the connection to one upstream. Its owner is whoever took the token
 // out of the channel; conn is nil until the first use and after an error.
 type lane struct {
-	token  chan struct{}
-	conn   *pgconn.PgConn
-	target target
+	token chan struct{}
+	conn  *pgconn.PgConn
+	login bundle.Login
 
 	application string
 }
 
-// target is what a connection was opened to.
-type target struct{ address, database, user, password string }
-
-func targetOf(group *bundle.Group, upstream *bundle.Upstream) target {
-	return target{upstream.Address, group.Database, group.User, group.Password}
-}
-
 func newLane(application string) *lane {
 	l := &lane{token: make(chan struct{}, 1), application: application}
 	l.token <- struct{}{}
@@ -56,9 +49,9 @@
 	return answer, nil
 }
 
-// connect opens the connection unless it is open to the same target.
+// connect opens the connection unless it is open with the same login.
 func (l *lane) connect(ctx context.Context, group *bundle.Group, upstream *bundle.Upstream) error {
-	if l.conn != nil && !l.conn.IsClosed() && l.target == targetOf(group, upstream) {
+	if l.conn != nil && !l.conn.IsClosed() && l.login == group.Login(upstream) {
 		return nil
 	}
 	l.discard()
@@ -67,7 +60,7 @@
 		return err
 	}
 	l.conn = conn
-	l.target = targetOf(group, upstream)
+	l.login = group.Login(upstream)
 	return nil
 }
 
