--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -24,6 +24,9 @@
 	// maxCatchUp is the time for which a read is sent ahead to a replica that
 	// is about to have its position.
 	maxCatchUp = 3 * time.Millisecond
+	// serviceMargin is the time, in usual latencies, that is left for a unit once
+	// it is let in.
+	serviceMargin = 2
 	// answerMargin is the least time that must be left when a unit is sent.
 	answerMargin = 5 * time.Millisecond
 	// replaceTime is the usual time from the failure of a primary to the first
@@ -196,12 +199,22 @@
 	if _, awaited := g.primaryExpected(now); awaited && unit.NeedsPrimary {
 		return nil
 	}
-	if now < unit.waitUntil() {
+	if now < g.waitUntil(unit) {
 		return nil
 	}
 	return &Refusal{Reason: RefusedQueue, RetryAfter: g.queueTime(now, unit)}
 }
 
+// waitUntil returns when the unit stops to wait for room: what is let in later
+// would come late for its caller, and make others late.
+func (g *Group) waitUntil(unit *Unit) time.Duration {
+	end := unit.Deadline
+	if unit.Target != 0 {
+		end = min(end, unit.Target)
+	}
+	return end - serviceMargin*g.UsualLatency(unit.Route)
+}
+
 // refuse returns why the unit cannot be served in time whatever is free.
 func (g *Group) refuse(now time.Duration, unit *Unit) *Refusal {
 	if now+max(answerMargin, g.UsualLatency(unit.Route)) >= unit.Deadline {
@@ -259,7 +272,7 @@
 		return nil
 	}
 	wait := g.queueTime(now, unit)
-	if now+wait+g.UsualLatency(unit.Route) > unit.waitUntil() {
+	if now+wait > g.waitUntil(unit) {
 		return &Refusal{Reason: RefusedQueue, RetryAfter: wait}
 	}
 	return nil
--- a/pkg/state/dispatch/unit.go
+++ b/pkg/state/dispatch/unit.go
@@ -97,11 +97,3 @@
 func (u *Unit) hasFailedAt(id model.UpstreamID) bool { return slices.Contains(u.Failed, id) }
 
 func (u *Unit) wasBehind(id model.UpstreamID) bool { return slices.Contains(u.Behind, id) }
-
-// waitUntil returns when the unit stops to wait for room.
-func (u *Unit) waitUntil() time.Duration {
-	if u.Target == 0 {
-		return u.Deadline
-	}
-	return min(u.Target, u.Deadline)
-}
--- /dev/null
+++ b/pkg/state/freshness/freshness_test.go
@@ -0,0 +1,119 @@
+package freshness_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gypsumdock/pkg/state/freshness"
+	"gypsumdock/pkg/state/model"
+)
+
+func TestFreshness(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "freshness")
+}
+
+const (
+	replica = model.UpstreamID("b")
+	maxAge  = 1500 * time.Millisecond
+)
+
+func at(number model.LSN) model.Position { return model.Position{Term: 1, Number: number} }
+
+func millis(count int) time.Duration { return time.Duration(count) * time.Millisecond }
+
+var _ = Describe("Required", func() {
+	It("is the oldest sample that is young enough", func() {
+		tracker := freshness.New()
+		for i := range 40 {
+			tracker.PrimarySampled(millis(i*100), at(model.LSN(i)))
+		}
+		position, sampled, found := tracker.Required(millis(3900), maxAge)
+		Expect(found).To(BeTrue())
+		Expect(sampled).To(BeNumerically(">=", millis(2400)))
+		Expect(sampled).To(BeNumerically("<=", millis(2500)))
+		Expect(position).To(Equal(at(model.LSN(sampled / millis(100)))))
+	})
+
+	It("is not found once every sample is too old", func() {
+		tracker := freshness.New()
+		tracker.PrimarySampled(0, at(1))
+		_, _, found := tracker.Required(maxAge, maxAge)
+		Expect(found).To(BeFalse())
+	})
+
+	It("ignores a position that goes back, as of a deposed primary", func() {
+		tracker := freshness.New()
+		tracker.PrimarySampled(millis(100), model.Position{Term: 2, Number: 5})
+		tracker.PrimarySampled(millis(200), model.Position{Term: 1, Number: 9})
+		position, _, found := tracker.Required(millis(300), maxAge)
+		Expect(found).To(BeTrue())
+		Expect(position).To(Equal(model.Position{Term: 2, Number: 5}))
+	})
+
+	It("covers every write older than the age, for any history", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			tracker := freshness.New()
+			now := time.Duration(0)
+			number := model.LSN(0)
+			var writes []time.Duration
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now += time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
+				if rapid.Bool().Draw(t, "write") {
+					number++
+					writes = append(writes, now)
+					continue
+				}
+				tracker.PrimarySampled(now, at(number))
+			}
+			position, _, found := tracker.Required(now, maxAge)
+			if !found {
+				return
+			}
+			for i, acknowledged := range writes {
+				if acknowledged < now-maxAge && position.Number < model.LSN(i+1) {
+					t.Fatalf("write %d of %v is missing from %v at %v", i+1, acknowledged, position, now)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("ReadyIn", func() {
+	newTracker := func() *freshness.Tracker {
+		tracker := freshness.New()
+		for i := range 100 {
+			tracker.PrimarySampled(millis(i*50), at(model.LSN(i)))
+		}
+		return tracker
+	}
+
+	It("is zero for a position that the replica has applied", func() {
+		tracker := newTracker()
+		tracker.ReplicaSampled(replica, millis(5000), at(90))
+		Expect(tracker.ReadyIn(replica, millis(5010), at(80), millis(4000))).To(BeZero())
+	})
+
+	It("follows the lag of the replica", func() {
+		tracker := newTracker()
+		// Position 59 was passed with the sample at 3,000 ms: 2,000 ms of lag.
+		tracker.ReplicaSampled(replica, millis(5000), at(59))
+		Expect(tracker.Lag(replica)).To(Equal(millis(2000)))
+		Expect(tracker.ReadyIn(replica, millis(5010), at(80), millis(4000))).To(Equal(millis(990)))
+	})
+
+	// A replica that was behind for six seconds was never asked again, so that
+	// every read stayed on the primary after it had caught up.
+	It("lets a replica that is thought to be behind be asked again", func() {
+		tracker := newTracker()
+		tracker.ReplicaSampled(replica, millis(5000), at(10))
+		Expect(tracker.ReadyIn(replica, millis(5100), at(99), millis(4950))).NotTo(BeZero())
+		Expect(tracker.ReadyIn(replica, millis(5300), at(99), millis(4950))).To(BeZero())
+		tracker.Asked(replica, millis(5300))
+		Expect(tracker.ReadyIn(replica, millis(5310), at(99), millis(4950))).NotTo(BeZero())
+	})
+})
