--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -313,12 +313,13 @@
 	d.with(id, func(now time.Duration, g *group) { g.decides.Full(now, placement.Upstream, open) })
 }
 
-// UsualLatency returns the usual latency of a route's statements.
-func (d *Dispatcher) UsualLatency(id model.GroupID, route string) time.Duration {
+// Patience returns the time after which an answer to a route's statements is
+// more likely lost than late.
+func (d *Dispatcher) Patience(id model.GroupID, route string) time.Duration {
 	known := d.group(id)
 	known.mu.Lock()
 	defer known.mu.Unlock()
-	return known.decides.UsualLatency(route)
+	return known.decides.Patience(route)
 }
 
 // MaySend reports whether the primary of the placement still takes work.
--- a/pkg/coordination/region/follow.go
+++ b/pkg/coordination/region/follow.go
@@ -21,6 +21,7 @@
 
 	firstFeedPause = 50 * time.Millisecond
 	lastFeedPause  = time.Second
+	emptyFeedPause = 150 * time.Millisecond
 )
 
 // tableChanged is what the follower of a table found.
@@ -52,7 +53,7 @@
 				events.Log(ctx, l.config.Logger, events.TableFeedLost, slog.String("table", name), slog.Any("error", err))
 			}
 			lost = true
-			wait(ctx, pauses.NextBackOff())
+			wait(ctx, pause(pauses.NextBackOff(), version))
 			continue
 		}
 		if lost {
@@ -67,6 +68,15 @@
 	}
 }
 
+// pause returns the pause after a failure. It stays short while nothing is
+// known of the table, since nothing can be served then.
+func pause(next time.Duration, version int64) time.Duration {
+	if version < 0 {
+		return min(next, emptyFeedPause)
+	}
+	return next
+}
+
 // step reads the whole table, or waits for what has changed after the version.
 func step(ctx context.Context, feed Feed, version int64, longest time.Duration) (tableChanged, int64, error) {
 	if version < 0 {
--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -31,8 +31,8 @@
 	// switchTime is the usual time from a seal to the first work of the next
 	// primary.
 	switchTime = 1100 * time.Millisecond
-	// expectFor is the time after the usual end of a change of primary for
-	// which it is still expected soon.
+	// expectFor is the time after the usual end of a change of primary, and
+	// after the start of the process, for which it is still expected soon.
 	expectFor = 2 * time.Second
 	// expectSoon is when it is then expected.
 	expectSoon = 200 * time.Millisecond
@@ -233,21 +233,34 @@
 	var expected map[model.GroupID]time.Duration
 	now := l.now()
 	for id, watched := range l.groups {
-		if watched.sealedAt == 0 {
-			continue
-		}
-		at := watched.sealedAt + switchTime
-		if now > at+expectFor {
+		at := l.expectedAt(now, id, watched)
+		if at == 0 {
 			continue
 		}
 		if expected == nil {
 			expected = make(map[model.GroupID]time.Duration)
 		}
-		expected[id] = max(at, now+expectSoon)
+		expected[id] = at
 	}
 	return expected
 }
 
+// expectedAt returns when a group is expected to have a primary; zero if that
+// is not known.
+func (l *Loop) expectedAt(now time.Duration, id model.GroupID, watched *groupWatch) time.Duration {
+	state, led := l.view.Group(id)
+	starting := now < expectFor && (!led || state.PermitUntil == 0)
+	at := watched.sealedAt + switchTime
+	switch {
+	case starting:
+		return now + expectSoon
+	case watched.sealedAt == 0 || now > at+expectFor:
+		return 0
+	default:
+		return max(at, now+expectSoon)
+	}
+}
+
 // Times of a promotion.
 const (
 	// promotionTime bounds the wait for a promoted upstream to lead.
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -39,6 +39,12 @@
 	promotionTimeout = time.Second
 	// meshCallTimeout bounds a question to a peer.
 	meshCallTimeout = time.Second
+	// permitLifetime bounds the wait for an instance that does not confirm that
+	// it has stopped; clockDrift is how far two clocks run apart meanwhile, and
+	// permitReadInterval the time between two reads of the head row.
+	permitLifetime     = 2 * time.Second
+	clockDrift         = 100 * time.Millisecond
+	permitReadInterval = 800 * time.Millisecond
 	// detectAfter is how long a primary must have failed before it is replaced.
 	detectAfter = 450 * time.Millisecond
 	// evictAfter is the silence after which an instance that does not come back
@@ -140,6 +146,9 @@
 	return region.Config{
 		Self: h.self,
 		Failover: failover.Config{
+			PermitLifetime: permitLifetime,
+			Drift:          clockDrift,
+			ReadInterval:   permitReadInterval,
 			DetectAfter:    detectAfter,
 			EvictAfter:     evictAfter,
 			MaxPromiseTime: promiseTime,
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -16,14 +16,23 @@
 	usualGain = 0.05
 	// primaryBias is added to the cost of a read at the primary, whose slots
 	// writes and reads of the latest data need.
-	primaryBias = 10 * time.Millisecond
+	primaryBias = 5 * time.Millisecond
 	// primaryWeight multiplies the cost of a read at the primary.
-	primaryWeight = 1.5
+	primaryWeight = 1.2
 	// distantBias is the way to another data centre and back.
 	distantBias = 2 * time.Millisecond
 	// maxCatchUp is the time for which a read is sent ahead to a replica that
 	// is about to have its position.
 	maxCatchUp = 3 * time.Millisecond
+	// minPatience is the least patience for an answer; it is else the greater
+	// of usualPatience usual latencies, and of the longest one of late times
+	// longestPatience / patienceScale.
+	minPatience     = 120 * time.Millisecond
+	usualPatience   = 8
+	longestPatience = 3
+	patienceScale   = 2
+	// longestDecay is the share of the longest latency that a statement leaves.
+	longestDecay = 0.998
 	// serviceMargin is the time, in usual latencies, that is left for a unit once
 	// it is let in.
 	serviceMargin = 2
@@ -65,6 +74,8 @@
 	leader    Leadership
 	tracker   *freshness.Tracker
 	usual     map[string]time.Duration
+	// longest holds a decaying maximum of the latencies of each kind of work.
+	longest map[string]time.Duration
 	// waiting is ordered by priority, deadline and arrival.
 	waiting []*Unit
 	placed  uint64
@@ -73,7 +84,7 @@
 // NewGroup returns a group without upstreams for an instance in the data
 // centre.
 func NewGroup(home model.DataCentre) *Group {
-	return &Group{home: home, tracker: freshness.New(), usual: make(map[string]time.Duration)}
+	return &Group{home: home, tracker: freshness.New(), usual: make(map[string]time.Duration), longest: make(map[string]time.Duration)}
 }
 
 // Freshness returns the tracker of the group's log positions.
@@ -117,6 +128,12 @@
 	return firstUsual
 }
 
+// Patience returns the time after which an answer is more likely lost than
+// late.
+func (g *Group) Patience(route string) time.Duration {
+	return max(minPatience, usualPatience*g.UsualLatency(route), longestPatience*g.longest[route]/patienceScale)
+}
+
 // Submit places a unit, or lets it wait, or refuses it. It waits if both
 // results are nil; a later Next returns its placement.
 func (g *Group) Submit(now time.Duration, unit *Unit) (*Placement, *Refusal) {
@@ -425,6 +442,7 @@
 	target.pending = max(0, target.pending-1)
 	target.well(now)
 	target.observe(now, latency, g.UsualLatency(route))
+	g.longest[route] = max(latency, time.Duration(longestDecay*float64(g.longest[route])))
 	g.usual[route] = g.UsualLatency(route) + time.Duration(usualGain*float64(latency-g.UsualLatency(route)))
 }
 
--- a/pkg/state/failover/head.go
+++ b/pkg/state/failover/head.go
@@ -28,7 +28,8 @@
 	if m.reads.started && m.reads.waiting && since < m.cfg.ReadTimeout {
 		return
 	}
-	due := !m.reads.started || m.reads.wanted || since >= m.cfg.ReadInterval
+	unknown := m.head == nil && m.reads.failed && since >= m.cfg.ResendInterval
+	due := !m.reads.started || m.reads.wanted || unknown || since >= m.cfg.ReadInterval
 	if !due {
 		return
 	}
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -20,6 +20,10 @@
 	callerBufferBytes = 1 << 10
 	// startTimeout bounds the wait for the first line.
 	startTimeout = 5 * time.Second
+	// catalogWait bounds the wait for the first configuration; callers give a
+	// session up that is not answered in two seconds.
+	catalogWait = 1200 * time.Millisecond
+	catalogPoll = 20 * time.Millisecond
 	// lineTimeout bounds the wait for the rest of a line that has begun.
 	lineTimeout = 10 * time.Second
 	// writeTimeout bounds the writing of an answer to a caller that does not
@@ -104,6 +108,10 @@
 		return false
 	}
 	s.start = start
+	if !s.awaitCatalog() {
+		s.refuse(statement.FailOverloaded, "not run: no configuration is known yet")
+		return false
+	}
 	if _, found := s.server.config.Dispatch.Catalog().Route(start.Database); !found {
 		s.refuse(statement.FailNoDatabase, "no route to this database")
 		return false
@@ -112,6 +120,18 @@
 	return s.flush()
 }
 
+// awaitCatalog waits for the first configuration. It returns false if there is
+// none in time: without it nothing can be said of a database.
+func (s *session) awaitCatalog() bool {
+	for end := time.Now().Add(catalogWait); s.server.config.Dispatch.Catalog().Version == 0; {
+		if time.Now().After(end) || s.server.ctx.Err() != nil {
+			return false
+		}
+		sleep(s.server.ctx, catalogPoll)
+	}
+	return true
+}
+
 // refuse answers a connection that is then closed.
 func (s *session) refuse(code statement.FailureCode, text string) {
 	s.server.record.refusedStart(s.start, code)
--- a/pkg/transport/textfront/single.go
+++ b/pkg/transport/textfront/single.go
@@ -68,6 +68,7 @@
 func (u *single) lost(err error) bool {
 	if !u.work.writes {
 		u.session.server.record.retried(u.unit, u.work.request, err.Error())
+		u.impatient = true
 		u.avoid(statement.Other)
 		u.drop()
 		return false
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -22,10 +22,6 @@
 	// busyPause is the pause before a statement is tried again that found all
 	// slots of its upstream taken.
 	busyPause = 8 * time.Millisecond
-	// readPatience is the time, in usual latencies, after which a read is
-	// tried at another upstream, and minReadPatience its least.
-	readPatience    = 8
-	minReadPatience = 120 * time.Millisecond
 )
 
 // sharedName returns the name under which all sessions prepare the same
@@ -47,6 +43,8 @@
 	// deadline is that of the statement in progress.
 	deadline time.Duration
 	tries    int
+	// impatient is set once a try was given up.
+	impatient bool
 
 	placement *dispatch.Placement
 	conn      *textback.Conn
@@ -195,10 +193,14 @@
 	return codec.AppendRequest(nil, w.request, since)
 }
 
-// patience returns when a read is tried elsewhere.
+// patience returns when a read is tried elsewhere. Only its first try is given
+// up: work that takes long takes as long at the next upstream.
 func (u *unit) patience() time.Duration {
-	usual := u.dispatch().UsualLatency(u.route.Group, u.route.Name)
-	return min(u.deadline, u.dispatch().Now()+max(minReadPatience, readPatience*usual))
+	if u.impatient {
+		return u.deadline
+	}
+	patience := u.dispatch().Patience(u.route.Group, u.route.Name)
+	return min(u.deadline, u.dispatch().Now()+patience)
 }
 
 // avoid keeps the unit's next try away from the upstream that just failed it.
