--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -76,6 +76,14 @@
 		Level:   slog.LevelInfo,
 		Meaning: "The settings file was read again on a signal.",
 	})
+	// InstanceAway is event 530.
+	InstanceAway = define(Event{
+		Number:  530,
+		Name:    "instance away",
+		Level:   slog.LevelWarn,
+		Meaning: "This instance is cut off from the store and holds no permit, or is so no longer. Meanwhile callers are led to others.",
+		Action:  "Look at the links of the machine if it lasts.",
+	})
 	// RequestServed is event 140.
 	RequestServed = define(Event{
 		Number:  140,
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -50,6 +50,17 @@
 	// evictAfter is the silence after which an instance that does not come back
 	// loses its registration.
 	evictAfter = 4 * time.Second
+	// awayAfter is the time without reach after which callers are led to other
+	// instances, and reachInterval the time between two looks.
+	awayAfter     = 700 * time.Millisecond
+	reachInterval = 200 * time.Millisecond
+	// switchWait bounds a planned change of primary, which otherwise is taken
+	// back; switchDistance is the number of log entries that its target may
+	// lack, about a second of writes; leavingRetry is the pause before the next
+	// one.
+	switchWait     = 1500 * time.Millisecond
+	switchDistance = 100
+	leavingRetry   = 2 * time.Second
 	// dutyLease is the age of the newest confirmation of the head row up to
 	// which an instance orders promotions, and dutyWait the time after which
 	// another one may that has taken over from it.
@@ -86,6 +97,8 @@
 	ready    *http.Server
 	stopping stopFlag
 	wasReady stopFlag
+	// away is set while the instance is cut off.
+	away stopFlag
 }
 
 // NewHosted opens the listeners and puts the parts together. Run starts them.
@@ -151,6 +164,9 @@
 			ReadInterval:   permitReadInterval,
 			DetectAfter:    detectAfter,
 			EvictAfter:     evictAfter,
+			SwitchWait:     switchWait,
+			SwitchDistance: switchDistance,
+			LeavingRetry:   leavingRetry,
 			MaxPromiseTime: promiseTime,
 			DutyLease:      dutyLease,
 			DutyWait:       dutyWait,
@@ -217,7 +233,7 @@
 		return false
 	}
 	if h.wasReady.isSet() {
-		return true
+		return !h.away.isSet()
 	}
 	snapshot := h.loop.Snapshot()
 	if snapshot.Catalog.Version == 0 {
@@ -233,6 +249,45 @@
 	return true
 }
 
+// watchReach leads callers to other instances while this one is cut off: it has
+// neither a permit nor an answer of the store.
+func (h *Hosted) watchReach(ctx context.Context) {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	var reached time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := h.clock.Now()
+		if h.isReached(now) {
+			reached = now
+		}
+		away := h.wasReady.isSet() && now-reached > awayAfter
+		if away != h.away.isSet() {
+			h.away.change(away)
+			events.Log(ctx, h.logger, events.InstanceAway, slog.Bool("away", away), slog.Duration("since", now-reached))
+		}
+		h.front.SetAway(away)
+	}
+}
+
+// isReached reports whether the store answers, or a permit is held.
+func (h *Hosted) isReached(now time.Duration) bool {
+	view := &h.loop.Snapshot().View
+	if view.PlatformReachable {
+		return true
+	}
+	for _, group := range view.Groups {
+		if now < group.PermitUntil {
+			return true
+		}
+	}
+	return false
+}
+
 // Run serves until ctx ends, and then stops gracefully. reload is told of each
 // signal to read the settings again. The error is nil if nothing in flight was
 // cut.
@@ -244,7 +299,10 @@
 		return errors.Wrap(err, "listen for readiness")
 	}
 	h.loop.Start()
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
 	go func() { _ = h.ready.Serve(listener) }()
+	go h.watchReach(background)
 	served := make(chan error, 1)
 	go func() { served <- h.front.Serve() }()
 	for {
--- a/pkg/instance/stop.go
+++ b/pkg/instance/stop.go
@@ -17,6 +17,9 @@
 func (f *stopFlag) set()        { f.flag.Store(true) }
 func (f *stopFlag) isSet() bool { return f.flag.Load() }
 
+// change sets or clears the flag.
+func (f *stopFlag) change(set bool) { f.flag.Store(set) }
+
 // Times of a stop, within the drain timeout.
 const (
 	finishWait     = time.Second
--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -86,6 +86,9 @@
 	// SwitchWait bounds the time of a planned switch; after it, the old primary
 	// goes on.
 	SwitchWait time.Duration
+	// SwitchDistance is the part of the primary's log that the target of a
+	// planned switch may lack when it starts; zero for no bound.
+	SwitchDistance model.LSN
 	// LeavingRetry is the time between two orders to switch away from a primary
 	// that is leaving.
 	LeavingRetry time.Duration
--- a/pkg/state/failover/switch.go
+++ b/pkg/state/failover/switch.go
@@ -43,10 +43,22 @@
 		return "the group has no such upstream"
 	case !m.isUsableReplica(g, gh, g.upstream(target)):
 		return "the target does not follow the primary"
+	case m.isFarBehind(g.upstream(gh.Primary), g.upstream(target)):
+		return "the target is far behind the primary"
 	}
 	return ""
 }
 
+// isFarBehind reports whether the target's newest probe lacks more of the
+// primary's log than Config.SwitchDistance. A target that receives nothing
+// would only keep writes waiting.
+func (m *Machine) isFarBehind(primary, target *upstream) bool {
+	if m.cfg.SwitchDistance == 0 || !m.isProbeFresh(primary) {
+		return false
+	}
+	return target.probe.LSN+m.cfg.SwitchDistance < primary.probe.LSN
+}
+
 // leavePrimary orders a planned switch away from a primary that is leaving. The
 // first heard member in rank does so, and again after LeavingRetry if it fails.
 func (m *Machine) leavePrimary(g *group, gh model.GroupHead) {
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -45,14 +45,21 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
-	// stopAt is when the graceful stop began, in nanoseconds of Unix time by
-	// the steady clock of start; zero before.
-	stopping atomic.Pointer[time.Time]
+	// departure is set while callers are led to other instances.
+	departure atomic.Pointer[departure]
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 }
 
+// departure is a time in which callers are led to other instances: a graceful
+// stop, or while this instance is cut off.
+type departure struct {
+	begun time.Time
+	// final is set for a stop.
+	final bool
+}
+
 // New returns a server that does not accept yet.
 func New(config Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -114,13 +121,7 @@
 // to be closed, each session ends between two statements, and those that are
 // left when ctx ends are cut. It returns ctx's error if there were such.
 func (s *Server) Shutdown(ctx context.Context) error {
-	begun := time.Now()
-	s.stopping.Store(&begun)
-	s.mu.Lock()
-	for open := range s.sessions {
-		open.wake()
-	}
-	s.mu.Unlock()
+	s.depart(&departure{begun: time.Now(), final: true})
 	ended := make(chan struct{})
 	go func() {
 		sleep(ctx, s.config.Stop.CloseBy)
@@ -144,6 +145,29 @@
 	return ctx.Err()
 }
 
+// SetAway leads callers to other instances while away is true: idle sessions
+// are closed as in a stop, but new ones go on to be served.
+func (s *Server) SetAway(away bool) {
+	present := s.departure.Load()
+	switch {
+	case present != nil && present.final:
+	case away && present == nil:
+		s.depart(&departure{begun: time.Now()})
+	case !away && present != nil:
+		s.departure.Store(nil)
+	}
+}
+
+// depart begins a departure, and lets the sessions that wait learn of it.
+func (s *Server) depart(begun *departure) {
+	s.departure.Store(begun)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for open := range s.sessions {
+		open.wake()
+	}
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -153,31 +177,26 @@
 	}
 }
 
-// closeTime returns when a session that is idle is closed, if a stop is under
-// way. The times of the sessions are spread, so that their callers do not come
-// back all at once.
-func (s *Server) closeTime() (time.Time, bool) {
-	begun := s.stopping.Load()
-	if begun == nil {
-		return time.Time{}, false
-	}
+// closeTime returns when an idle session is closed in a departure. The times of
+// the sessions are spread, so that their callers do not come back all at once.
+func (s *Server) closeTime(from *departure) time.Time {
 	window := s.config.Stop.CloseBy - s.config.Stop.CloseFrom
 	spread := time.Duration(rand.Float64() * float64(window))
-	return begun.Add(s.config.Stop.CloseFrom + spread), true
+	return from.begun.Add(s.config.Stop.CloseFrom + spread)
 }
 
 // transactionEnd returns when open transactions are rolled back, if a stop is
 // under way.
 func (s *Server) transactionEnd() (time.Time, bool) {
-	begun := s.stopping.Load()
-	if begun == nil {
+	present := s.departure.Load()
+	if present == nil || !present.final {
 		return time.Time{}, false
 	}
-	return begun.Add(s.config.Stop.EndTransactions), true
+	return present.begun.Add(s.config.Stop.EndTransactions), true
 }
 
 // isClosing reports whether sessions are closed as soon as they are idle.
 func (s *Server) isClosing() bool {
-	begun := s.stopping.Load()
-	return begun != nil && time.Since(*begun) >= s.config.Stop.CloseFrom
+	present := s.departure.Load()
+	return present != nil && time.Since(present.begun) >= s.config.Stop.CloseFrom
 }
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -61,9 +61,10 @@
 	// was acknowledged.
 	mark   model.Position
 	markAt time.Duration
-	// closeAt is when the session is closed if it is idle; zero if it is not
-	// to be closed.
-	closeAt time.Time
+	// closeAt is when the session is closed if it is idle, by the departure
+	// for which it was set; zero without one.
+	closeAt  time.Time
+	leftWith *departure
 }
 
 func newSession(server *Server, socket net.Conn) *session {
@@ -154,11 +155,12 @@
 		if s.reader.Buffered() > 0 {
 			return true
 		}
-		if s.state == statement.Idle && s.server.isClosing() && !s.quiet.HasInput() && s.isDueToClose() {
+		s.followDeparture()
+		if s.state == statement.Idle && s.isDueToClose() && !s.quiet.HasInput() {
 			return false
 		}
 		_ = s.socket.SetReadDeadline(s.waitUntil())
-		if s.server.stopping.Load() != nil && s.closeAt.IsZero() {
+		if s.server.departure.Load() != s.leftWith {
 			continue
 		}
 		_, err := s.reader.Peek(1)
@@ -172,30 +174,33 @@
 	}
 }
 
-// isDueToClose reports whether an idle session ends now. It ends right after an
-// answer, or when its time has come.
+// followDeparture sets the end of the session by the state of the server.
+func (s *session) followDeparture() {
+	present := s.server.departure.Load()
+	if present == s.leftWith {
+		return
+	}
+	s.leftWith = present
+	s.closeAt = time.Time{}
+	if present != nil {
+		s.closeAt = s.server.closeTime(present)
+	}
+}
+
+// isDueToClose reports whether an idle session ends now.
 func (s *session) isDueToClose() bool {
 	return !s.closeAt.IsZero() && !time.Now().Before(s.closeAt)
 }
 
 // waitUntil returns the end of the wait for a statement; zero for none.
 func (s *session) waitUntil() time.Time {
-	var until time.Time
-	if closeAt, stopping := s.server.closeTime(); stopping && s.closeAt.IsZero() {
-		s.closeAt = closeAt
-	}
-	if s.state == statement.Idle {
+	if s.tx == nil || s.tx.lost {
 		return s.closeAt
 	}
-	if s.tx != nil && !s.tx.lost {
-		until = s.tx.idleUntil
-	}
+	until := s.tx.idleUntil
 	if end, stopping := s.server.transactionEnd(); stopping && (until.IsZero() || end.Before(until)) {
 		until = end
 	}
-	if s.tx == nil || s.tx.lost {
-		return s.closeAt
-	}
 	return until
 }
 
