--- a/testbench/cluster/process.go
+++ b/testbench/cluster/process.go
@@ -149,3 +149,29 @@
 		return errors.Join(errors.Errorf("%s did not stop in %s", p.Name, stopTimeout), p.Kill())
 	}
 }
+
+// StartLogged runs a program with its whole output in logPath and with env in
+// addition to the environment.
+func StartLogged(name, logPath string, env []string, path string, args ...string) (*Process, error) {
+	logFile, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer logFile.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stdout = logFile
+	cmd.Stderr = logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	starter() <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, LogPath: logPath, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = cmd.Wait()
+	}()
+	return p, nil
+}
--- /dev/null
+++ b/testbench/hosted/hosted_test.go
@@ -0,0 +1,184 @@
+package hosted_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/testbench/hosted"
+)
+
+func TestHosted(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hosted")
+}
+
+// patience is a bound that only a hang exceeds.
+const patience = time.Minute
+
+func start() *hosted.System {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	system, err := hosted.Start(ctx, hosted.DefaultOptions())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(system.Close)
+	return system
+}
+
+func dial(system *hosted.System, instance int, database string) *hosted.Client {
+	client, err := hosted.Dial(system.Instances[instance].Callers(), database, "client")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(client.Close)
+	return client
+}
+
+func do(client *hosted.Client, text string) hosted.Reply {
+	reply, err := client.Do(text)
+	Expect(err).NotTo(HaveOccurred())
+	return reply
+}
+
+// must runs a statement until it succeeds; only promises may come before.
+func must(client *hosted.Client, text string) hosted.Reply {
+	var reply hosted.Reply
+	Eventually(func() string {
+		reply = do(client, text)
+		if reply.Code != "" {
+			Expect(reply.IsPromise()).To(BeTrue(), "%s: %s", text, reply.Code)
+		}
+		return reply.Code
+	}, patience, 50*time.Millisecond).Should(BeEmpty())
+	return reply
+}
+
+var _ = Describe("a hosted system", func() {
+	It("shows a session its writes, with transactions, values and prepared statements", func() {
+		system := start()
+		client := dial(system, 0, hosted.DatabaseSession)
+		must(client, "WRITE a 1")
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"1"}))
+		must(client, "SET mode x")
+		must(client, "PREPARE s WRITE q1")
+		must(client, "EXECUTE s a 2")
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"2"}))
+		Expect(do(client, "BEGIN").State).To(Equal("T"))
+		do(client, "WRITE a 3")
+		Expect(do(client, "READ b").State).To(Equal("T"))
+		Expect(do(client, "COMMIT").State).To(Equal("I"))
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"3"}))
+		do(client, "BEGIN")
+		do(client, "WRITE a 4")
+		Expect(do(client, "ROLLBACK").State).To(Equal("I"))
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"3"}))
+	})
+
+	It("refuses what it cannot read, and does not pass it on", func() {
+		system := start()
+		client := dial(system, 1, hosted.DatabaseLatest)
+		for _, text := range []string{"STATUS", "STEPDOWN 9", "SINCE 1.0 READ a", "READ", "RESET", "COMMIT"} {
+			Expect(do(client, text).Code).To(Equal("MALFORMED"), text)
+		}
+		Expect(do(client, "EXECUTE none a").Code).To(Equal("UNPREPARED"))
+		must(client, "READ a")
+		_, err := hosted.Dial(system.Instances[1].Callers(), "nowhere", "client")
+		Expect(err).To(MatchError("NODATABASE"))
+	})
+
+	It("replaces a primary that crashes, and keeps every rule meanwhile", func() {
+		system := start()
+		client := dial(system, 2, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		before := system.Group.Primary()
+		Eventually(func() int { return len(system.Group.Databases()) }).Should(Equal(3))
+		before.Crash()
+		must(client, "READ a")
+		must(client, "WRITE a 2")
+		Expect(system.Group.Primary().ID).NotTo(Equal(before.ID))
+		Expect(before.Start()).To(Succeed())
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"2"}))
+		Expect(system.Group.Violations()).To(BeEmpty())
+	})
+
+	It("moves away from a primary that drains, and loses nothing", func() {
+		system := start()
+		client := dial(system, 0, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		before := system.Group.Primary()
+		before.SetDraining(true)
+		Eventually(func() bool {
+			primary := system.Group.Primary()
+			return primary != nil && primary.ID != before.ID
+		}, patience, 50*time.Millisecond).Should(BeTrue())
+		Expect(must(client, "READ a").Rows).To(Equal([]string{"1"}))
+		must(client, "WRITE a 2")
+	})
+
+	It("says that the outcome is unknown if the answer to a write is lost", func() {
+		system := start()
+		client := dial(system, 0, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		primary := system.Group.Primary()
+		primary.SetLoseAnswers(true)
+		Expect(do(client, "WRITE a 2").Code).To(Equal("INDOUBT"))
+		primary.SetLoseAnswers(false)
+	})
+
+	It("adopts configurations upwards, also when the store forgets its history", func() {
+		system := start()
+		system.Store.ForgetHistory()
+		system.Configure(700 * time.Millisecond)
+		system.Store.Put("op", "config", []byte("not a configuration"))
+		system.Store.Put("servers", "stray", []byte(`{"service":7}`))
+		must(dial(system, 3, hosted.DatabaseBounded), "READ a")
+	})
+
+	It("serves writes while the store is away, and comes back from nothing with it", func() {
+		system := start()
+		client := dial(system, 0, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		system.Store.SetFault(hosted.StoreBusy)
+		end := time.Now().Add(4 * time.Second)
+		for time.Now().Before(end) {
+			Expect(do(client, "WRITE a 2").Code).To(BeEmpty())
+			time.Sleep(20 * time.Millisecond)
+		}
+		system.Store.SetFault(hosted.StoreWell)
+		for _, instance := range system.Instances {
+			Expect(instance.Process().Kill()).To(Succeed())
+		}
+		for _, instance := range system.Instances {
+			Expect(instance.Start()).To(Succeed())
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(system.Instances[0].WaitReady(ctx)).To(Succeed())
+		Expect(must(dial(system, 0, hosted.DatabaseLatest), "READ a").Rows).To(Equal([]string{"2"}))
+	})
+
+	It("stops gracefully: not ready at once, sessions end between statements", func() {
+		system := start()
+		instance := system.Instances[1]
+		client := dial(system, 1, hosted.DatabaseSession)
+		must(client, "WRITE a 1")
+		Expect(instance.Signal(syscall.SIGHUP)).To(Succeed())
+		Expect(instance.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(instance.Ready, patience, 20*time.Millisecond).Should(BeFalse())
+		ended := 0
+		for ended < 1000 {
+			reply, err := client.Do("READ a")
+			if err != nil {
+				break
+			}
+			Expect(reply.Code).To(BeEmpty())
+			ended++
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(ended).To(BeNumerically(">", 0))
+		Eventually(instance.Process().Exited, patience, 20*time.Millisecond).Should(BeTrue())
+		Expect(instance.Process().ExitCode()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/testbench/hosted/system.go
@@ -0,0 +1,269 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/testbench/cluster"
+	"gypsumdock/testbench/faultproxy"
+)
+
+// Options describe a system.
+type Options struct {
+	Instances int
+	Group     GroupOptions
+	// Grace is the time that an instance has for a graceful stop.
+	Grace time.Duration
+}
+
+// DefaultOptions are those of a small site.
+func DefaultOptions() Options {
+	return Options{
+		Instances: 4,
+		Group: GroupOptions{
+			Name: "berths", Databases: 3, MaxConnections: 24, Slots: 4,
+			PromoteTime: 200 * time.Millisecond, Lag: 10 * time.Millisecond,
+		},
+		Grace: 4 * time.Second,
+	}
+}
+
+// The databases that the routes lead to, by consistency.
+const (
+	DatabaseLatest  = "latest"
+	DatabaseSession = "session"
+	DatabaseBounded = "bounded"
+)
+
+// System is a whole deployment: instances as processes before the stand-ins.
+type System struct {
+	Store     *Store
+	Group     *Group
+	Instances []*Instance
+
+	options Options
+	dir     string
+	ports   ports
+	mu      sync.Mutex
+	version int
+}
+
+// ports are the same on all instances, which have addresses of their own.
+type ports struct{ callers, ready, mesh int }
+
+// Instance is a place for a process.
+type Instance struct {
+	Index   int
+	IP      string
+	system  *System
+	process *cluster.Process
+	// ToStore carries the instance's calls to the store.
+	ToStore *faultproxy.Proxy
+	path    string
+}
+
+// Start starts a system and waits until all its instances are ready.
+func Start(ctx context.Context, options Options) (*System, error) {
+	s := &System{options: options, version: 1}
+	if err := s.start(ctx); err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	var err error
+	if s.dir, err = os.MkdirTemp("", "gypsumdock-hosted-"); err != nil {
+		return err
+	}
+	if s.Store, err = StartStore(); err != nil {
+		return err
+	}
+	if s.Group, err = StartGroup(s.Store, s.options.Group); err != nil {
+		return err
+	}
+	s.Configure(time.Second)
+	if s.ports, err = freePorts(s.options.Instances); err != nil {
+		return err
+	}
+	for i := range s.options.Instances {
+		placed, err := s.place(i)
+		if err != nil {
+			return err
+		}
+		s.Instances = append(s.Instances, placed)
+		if err := placed.Start(); err != nil {
+			return err
+		}
+	}
+	for _, placed := range s.Instances {
+		if err := placed.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configure writes the next version of the configuration. timeout bounds a
+// statement.
+func (s *System) Configure(timeout time.Duration) {
+	s.mu.Lock()
+	s.version += 3
+	version := s.version
+	s.mu.Unlock()
+	route := func(database, kind string, priority int, age int64) map[string]any {
+		return map[string]any{
+			"name": "r-" + database, "host": database, "prefix": "/", "kind": kind, "service": s.options.Group.Name,
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": timeout.Milliseconds() / 2,
+			"priority": priority, "max_staleness_ms": age,
+		}
+	}
+	body, _ := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route(DatabaseLatest, "primary", 1, 0),
+			route(DatabaseSession, "read_your_writes", 2, 2500),
+			route(DatabaseBounded, "bounded_staleness", 2, 1500),
+		},
+		"services": []any{map[string]any{
+			"name": s.options.Group.Name, "max_connections": s.options.Group.MaxConnections, "sync_replicas": 0,
+		}},
+		"limits": map[string]any{"transaction_idle_ms": 3000},
+	})
+	s.Store.Put("op", "config", body)
+}
+
+// freePorts finds ports that are free on the addresses of all instances.
+func freePorts(instances int) (ports, error) {
+	var found []int
+	for len(found) < 3 {
+		listener, err := net.Listen("tcp", instanceIP(0)+":0")
+		if err != nil {
+			return ports{}, err
+		}
+		port := listener.Addr().(*net.TCPAddr).Port
+		free := true
+		for i := 1; i < instances && free; i++ {
+			other, err := net.Listen("tcp", net.JoinHostPort(instanceIP(i), strconv.Itoa(port)))
+			free = err == nil
+			if free {
+				_ = other.Close()
+			}
+		}
+		_ = listener.Close()
+		if free {
+			found = append(found, port)
+		}
+	}
+	return ports{callers: found[0], ready: found[1], mesh: found[2]}, nil
+}
+
+func instanceIP(index int) string { return fmt.Sprintf("127.0.77.%d", index+1) }
+
+func (s *System) place(index int) (*Instance, error) {
+	proxy, err := faultproxy.Start("127.0.0.1:0", s.Store.Address())
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{Index: index, IP: instanceIP(index), system: s, ToStore: proxy}
+	i.path = filepath.Join(s.dir, fmt.Sprintf("instance-%d.toml", index))
+	return i, os.WriteFile(i.path, []byte(i.settings()), 0o600)
+}
+
+func (i *Instance) address(port int) string { return net.JoinHostPort(i.IP, strconv.Itoa(port)) }
+
+func (i *Instance) settings() string {
+	s := i.system
+	return fmt.Sprintf(`node_name = "frontend-%d"
+ip_address = %q
+zone = "zone-%d"
+region = "region"
+internal_ports = [%d, %d]
+seed_nodes = [%q]
+[listen_addresses]
+frontend = %q
+ready = %q
+[bounds]
+grace_period_s = %g
+[platform]
+address = %q
+[cloud_api]
+address = %q
+`, i.Index, i.IP, i.Index%s.options.Group.Databases, s.ports.mesh, s.ports.mesh+10, instanceIP(0)+":1",
+		i.address(s.ports.callers), i.address(s.ports.ready), s.options.Grace.Seconds(), i.ToStore.Address(), s.Group.Cloud())
+}
+
+// Start starts the instance's process.
+func (i *Instance) Start() error {
+	binaries, err := cluster.BuildOnce()
+	if err != nil {
+		return err
+	}
+	process, err := cluster.StartLogged(fmt.Sprintf("instance-%d", i.Index), i.LogPath(),
+		[]string{"GYPSUMDOCK_CONFIG=" + i.path}, binaries.Gypsumdock, "--hosted")
+	i.process = process
+	return err
+}
+
+// LogPath is the file with the instance's log.
+func (i *Instance) LogPath() string { return i.path + ".log" }
+
+// Callers is the address for callers.
+func (i *Instance) Callers() string { return i.address(i.system.ports.callers) }
+
+// Process is the running process.
+func (i *Instance) Process() *cluster.Process { return i.process }
+
+// Ready reports whether the instance wants callers.
+func (i *Instance) Ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + i.address(i.system.ports.ready) + "/gypsumdock/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// WaitReady waits until the instance wants callers.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	for !i.Ready() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "instance %d", i.Index)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to the instance's process.
+func (i *Instance) Signal(signal syscall.Signal) error { return i.process.Signal(signal) }
+
+// Close ends everything.
+func (s *System) Close() error {
+	for _, i := range s.Instances {
+		if i.process != nil {
+			_ = i.process.Kill()
+		}
+		_ = i.ToStore.Close()
+	}
+	if s.Group != nil {
+		s.Group.Close()
+	}
+	if s.Store != nil {
+		s.Store.Close()
+	}
+	return os.RemoveAll(s.dir)
+}
