One instance reads the store for all; a probe that is answered ends a doubt

The first live member reads for the others, which ask it over the mesh; an instance without a good answer for 1.8 s follows the tables itself.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -171,6 +171,11 @@
 	return sign
 }
 
+// ProbeAnswered says that an upstream has answered a probe.
+func (d *Dispatcher) ProbeAnswered(id model.GroupID, upstream model.UpstreamID) {
+	d.with(id, func(now time.Duration, g *group) { g.decides.Reached(now, upstream) })
+}
+
 // WritesInFlight returns the number of units at the primary of the generation.
 func (d *Dispatcher) WritesInFlight(id model.GroupID, generation model.Generation) int {
 	known := d.group(id)
--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/share"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
@@ -53,6 +54,16 @@
 	cancel context.CancelFunc
 	reads  atomic.Int32
 	latest atomic.Pointer[Snapshot]
+	tables atomic.Pointer[tables]
+	// headRead shares the reads of the head row; lastHeadRead belongs to it.
+	headRead     *share.Call[headResult]
+	urgent       atomic.Bool
+	lastHeadRead time.Duration
+	// following is set while this instance follows the tables itself, and the
+	// others hold when the store last answered.
+	following         atomic.Bool
+	configurationSeen atomic.Int64
+	databasesSeen     atomic.Int64
 
 	// The fields below belong to the control goroutine.
 	failover  *failover.Machine
@@ -65,6 +76,12 @@
 	lastSpec  failover.BundleAdopted
 	peersOf   uint64
 	catchUpAt time.Duration
+	// upstreamsVersion is that of the newest change of the upstreams.
+	upstreamsVersion int64
+	// goodReplyAt is when the last question was asked that a reader has answered
+	// which follows the tables.
+	goodReplyAt   time.Duration
+	failedReaders map[model.InstanceID]time.Duration
 }
 
 // New returns a loop that has not started.
@@ -84,7 +101,11 @@
 		registry:  newRegistry(),
 		groups:    make(map[model.GroupID]*groupWatch),
 		promoting: make(map[model.GroupID]bool),
+
+		failedReaders: make(map[model.InstanceID]time.Duration),
 	}
+	l.headRead = share.New(l.spacedHeadRead)
+	l.following.Store(true)
 	l.latest.Store(&Snapshot{Catalog: &catalog.Catalog{}})
 	return l, nil
 }
@@ -93,12 +114,16 @@
 func (l *Loop) Start() {
 	l.tasks.Go(l.run)
 	l.tasks.Go(func() {
-		l.follow(l.ctx, "configuration", l.config.Configurations, configurationWait, func(changed tableChanged) {
+		l.follow(followed{
+			name: "configuration", feed: l.config.Configurations, wait: configurationWait, seen: &l.configurationSeen,
+		}, func(changed tableChanged) {
 			l.post(func() { l.configurationChanged(changed) })
 		})
 	})
 	l.tasks.Go(func() {
-		l.follow(l.ctx, "databases", l.config.Databases, databasesWait, func(changed tableChanged) {
+		l.follow(followed{
+			name: "databases", feed: l.config.Databases, wait: databasesWait, seen: &l.databasesSeen,
+		}, func(changed tableChanged) {
 			l.post(func() { l.databasesChanged(changed) })
 		})
 	})
@@ -159,6 +184,7 @@
 		l.logUpstream(catalog.Upstream{ID: id}, "gone")
 		l.specify()
 	}
+	l.decideFollowing(now)
 	l.step(failover.Tick{})
 	l.drained()
 	l.watchGroups(now)
@@ -246,21 +272,6 @@
 	}
 }
 
-func (l *Loop) readHead() {
-	if l.reads.Add(1) > maxHeadReads {
-		l.reads.Add(-1)
-		return
-	}
-	l.tasks.Go(func() {
-		defer l.reads.Add(-1)
-		ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
-		defer cancel()
-		started := l.now()
-		head, err := l.config.Heads.Read(ctx)
-		l.post(func() { l.step(failover.HeadRead{StartedAt: started, Head: head, Failed: err != nil}) })
-	})
-}
-
 func (l *Loop) writeHead(write failover.WriteHead) {
 	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
 	defer cancel()
@@ -278,13 +289,12 @@
 			l.refuseRow("configuration", entry, err)
 			continue
 		}
-		l.Adopt(offered)
+		l.adopt(offered)
 	}
 }
 
-// Adopt puts a configuration in force if it is newer. It is called from the
-// control goroutine.
-func (l *Loop) Adopt(offered *catalog.Catalog) {
+// adopt puts a configuration in force if it is newer.
+func (l *Loop) adopt(offered *catalog.Catalog) {
 	newest := catalog.Newer(l.catalog, offered)
 	if newest == l.catalog {
 		return
@@ -293,6 +303,7 @@
 	events.Log(l.ctx, l.config.Logger, events.CatalogAdopted,
 		slog.Uint64("version", uint64(newest.Version)),
 		slog.Int("routes", len(newest.Routes)), slog.Int("groups", len(newest.Groups)))
+	l.serveTables()
 	l.specify()
 	l.publish()
 }
@@ -322,6 +333,8 @@
 			different = l.registry.put(upstream) || different
 		}
 	}
+	l.upstreamsVersion = max(l.upstreamsVersion, changed.version)
+	l.serveTables()
 	if different {
 		l.specify()
 		l.publish()
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -75,6 +75,8 @@
 	Send(to model.InstanceID, message failover.PeerMessage)
 	// FetchHead asks any peer for the head row that it knows.
 	FetchHead(ctx context.Context) (*model.Head, error)
+	// AskRegion asks a peer that reads the store for others.
+	AskRegion(ctx context.Context, reader model.InstanceID, question Question) (*Reply, error)
 }
 
 // Clock gives the time since the process's start. It goes on while the machine
@@ -99,6 +101,8 @@
 	Publish(snapshot *Snapshot)
 	// Signs returns what was seen of a group's upstreams.
 	Signs(group model.GroupID) Sign
+	// ProbeAnswered says that an upstream has answered a probe.
+	ProbeAnswered(group model.GroupID, upstream model.UpstreamID)
 	// WritesInFlight returns the number of units at the primary of the group's
 	// generation.
 	WritesInFlight(group model.GroupID, generation model.Generation) int
--- a/pkg/coordination/region/registry.go
+++ b/pkg/coordination/region/registry.go
@@ -78,6 +78,18 @@
 	return dropped
 }
 
+// present returns the upstreams that have a row, ordered by ID.
+func (r *registry) present() []catalog.Upstream {
+	var found []catalog.Upstream
+	for id, upstream := range r.upstreams {
+		if _, removed := r.removedAt[id]; !removed {
+			found = append(found, upstream)
+		}
+	}
+	slices.SortFunc(found, func(a, b catalog.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return found
+}
+
 // of returns the upstreams of a group, ordered by ID.
 func (r *registry) of(group model.GroupID) []catalog.Upstream {
 	var found []catalog.Upstream
--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -207,6 +207,9 @@
 			probed := l.probe(upstream)
 			l.post(func() {
 				watched.probing--
+				if probed.Reachable {
+					l.config.Traffic.ProbeAnswered(id, upstream.ID)
+				}
 				l.step(probed)
 			})
 		})
--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -84,6 +84,13 @@
 		Meaning: "This instance is cut off from the store and holds no permit, or is so no longer. Meanwhile callers are led to others.",
 		Action:  "Look at the links of the machine if it lasts.",
 	})
+	// ReaderFailed is event 531.
+	ReaderFailed = define(Event{
+		Number:  531,
+		Name:    "reader failed",
+		Level:   slog.LevelInfo,
+		Meaning: "The instance that reads the store for others has not answered. The store is asked directly for a while.",
+	})
 	// RequestServed is event 140.
 	RequestServed = define(Event{
 		Number:  140,
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -45,6 +45,7 @@
 	permitLifetime     = 2 * time.Second
 	clockDrift         = 100 * time.Millisecond
 	permitReadInterval = 800 * time.Millisecond
+	permitReadTimeout  = 950 * time.Millisecond
 	// detectAfter is how long a primary must have failed before it is replaced.
 	detectAfter = 450 * time.Millisecond
 	// evictAfter is the silence after which an instance that does not come back
@@ -162,6 +163,7 @@
 			PermitLifetime: permitLifetime,
 			Drift:          clockDrift,
 			ReadInterval:   permitReadInterval,
+			ReadTimeout:    permitReadTimeout,
 			DetectAfter:    detectAfter,
 			EvictAfter:     evictAfter,
 			SwitchWait:     switchWait,
@@ -359,6 +361,10 @@
 		reply(meshlink.EncodeHead(head))
 		return
 	}
+	if ask := message.GetRegionAsk(); ask != nil {
+		go p.answerRegion(ask, reply)
+		return
+	}
 	decoded, found := meshlink.Decode(message)
 	if !found {
 		reply(meshlink.EncodeFailure("no answer to this message"))
@@ -367,6 +373,18 @@
 	p.loop.PeerReceived(from, decoded)
 }
 
+// answerRegion reads the store for a peer.
+func (p hostedPeer) answerRegion(ask *meshpb.RegionAsk, reply func(*meshpb.Envelope)) {
+	ctx, cancel := context.WithTimeout(context.Background(), meshCallTimeout)
+	defer cancel()
+	answer, err := p.loop.AnswerRegion(ctx, meshlink.RegionQuestion(ask))
+	if err != nil {
+		reply(meshlink.EncodeFailure(err.Error()))
+		return
+	}
+	reply(meshlink.EncodeRegionAnswer(answer, model.RowVersion(ask.GetHeadVersion())))
+}
+
 // HandleForward refuses units of work: hosted instances forward none.
 func (p hostedPeer) HandleForward(_ context.Context, _ model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
 	_ = conn.Close()
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -213,7 +213,7 @@
 // refuseLate ends the wait of a unit that would come too late for its caller.
 // While a primary is being replaced units wait up to their deadline.
 func (g *Group) refuseLate(now time.Duration, unit *Unit) *Refusal {
-	if _, awaited := g.primaryExpected(now); awaited && unit.NeedsPrimary {
+	if g.awaitsPrimary(now, unit) {
 		return nil
 	}
 	if now < g.waitUntil(unit) {
@@ -245,6 +245,19 @@
 	return g.refuseAtPrimary(now, unit)
 }
 
+// awaitsPrimary reports whether the unit can only run at a primary that is
+// expected.
+func (g *Group) awaitsPrimary(now time.Duration, unit *Unit) bool {
+	if _, awaited := g.primaryExpected(now); !awaited {
+		return false
+	}
+	if unit.NeedsPrimary {
+		return true
+	}
+	_, _, proven := unit.required(g.tracker, now)
+	return !proven
+}
+
 // refuseAtPrimary returns why no primary will serve the unit in time.
 func (g *Group) refuseAtPrimary(now time.Duration, unit *Unit) *Refusal {
 	expected, awaited := g.primaryExpected(now)
@@ -285,7 +298,7 @@
 	if len(g.upstreams) == 0 {
 		return &Refusal{Reason: RefusedNoUpstream, RetryAfter: noPrimaryRetry}
 	}
-	if _, awaited := g.primaryExpected(now); awaited && unit.NeedsPrimary {
+	if g.awaitsPrimary(now, unit) {
 		return nil
 	}
 	wait := g.queueTime(now, unit)
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/coordination/control"
+	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/failover"
@@ -150,6 +151,15 @@
 	return meshlink.DecodeHeadAnswer(answer, known)
 }
 
+// AskRegion asks a peer that reads the store for others.
+func (p *Peers) AskRegion(ctx context.Context, reader model.InstanceID, question region.Question) (*region.Reply, error) {
+	answer, err := p.call(ctx, reader, meshlink.EncodeRegionAsk(question))
+	if err != nil {
+		return nil, err
+	}
+	return meshlink.DecodeRegionAnswer(answer, question.Head)
+}
+
 // StoreMark stores a mark at its home.
 func (p *Peers) StoreMark(
 	ctx context.Context, home marks.Target, key marks.Key, mark model.Mark,
