Probe what is doubted; the rest is asked by those that would replace the primary

An upstream to which a connection failed gets no units until it has answered a probe; one without room counts as there.

--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -264,7 +264,7 @@
 	case failover.SendPeer:
 		l.config.Peers.Send(a.To, a.Message)
 	case failover.ProbeNow:
-		l.probeGroup(a.Group)
+		l.probeAll(a.Group, l.upstreamsOf(a.Group))
 	case failover.Promote:
 		l.promote(a)
 	case failover.Report:
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -55,8 +55,12 @@
 	Received model.LSN
 }
 
+// ErrBusy means that an upstream is there, but has no room to say more.
+var ErrBusy = errors.New("the upstream has no room")
+
 // Upstreams asks upstreams for their state.
 type Upstreams interface {
+	// Probe returns ErrBusy from an upstream without room.
 	Probe(ctx context.Context, upstream catalog.Upstream) (Sample, error)
 }
 
--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,14 @@
 	probeInterval = 150 * time.Millisecond
 	// startInterval is that of a group without a known primary.
 	startInterval = 300 * time.Millisecond
+	// startPatience is the time after which every instance probes a group
+	// without a known primary, not only the reader.
+	startPatience = 4 * time.Second
+	// replicaInterval is that of replicas that do not answer.
+	replicaInterval = 500 * time.Millisecond
+	// probingRanks is the number of instances that probe all upstreams of a
+	// group whose primary may be replaced.
+	probingRanks = 2
 	// doubtFor is how long a doubt lasts that nothing renews.
 	doubtFor = time.Second
 	// signInterval is the least time between two answers of a primary that the
@@ -43,6 +52,8 @@
 	// doubtUntil is when the last doubt ends.
 	doubtUntil time.Duration
 	doubted    bool
+	// peerDoubtUntil is when the last doubt of a peer about the primary ends.
+	peerDoubtUntil time.Duration
 	// probedAt is when the upstreams were last probed, and probing is the
 	// number of probes in flight.
 	probedAt time.Duration
@@ -107,9 +118,7 @@
 			l.doubt(now, id, watched, sign.Suspects[0])
 		}
 		l.settleDoubt(now, id, watched)
-		if l.needsProbe(now, id, watched, state, led) {
-			l.probeGroup(id)
-		}
+		l.probeAll(id, l.probeTargets(now, id, watched, state, sign))
 	}
 }
 
@@ -172,63 +181,105 @@
 		if observation.Reachable || !led || watched == nil || state.Generation != observation.Generation {
 			continue
 		}
+		watched.peerDoubtUntil = l.now() + doubtFor
 		l.doubt(l.now(), observation.Group, watched, state.Primary)
 	}
 }
 
-// needsProbe reports whether the upstreams of the group are to be probed now.
-func (l *Loop) needsProbe(
-	now time.Duration, id model.GroupID, watched *groupWatch, state failover.GroupView, led bool,
-) bool {
-	if watched.probing > 0 {
-		return false
-	}
+// probeTargets returns the upstreams that are to be probed now. Only what is
+// doubted is asked by all; what a change of primary needs to know of the others
+// is asked by those that would carry it out.
+func (l *Loop) probeTargets(
+	now time.Duration, id model.GroupID, watched *groupWatch, state failover.GroupView, sign Sign,
+) []model.UpstreamID {
 	since := now - watched.probedAt
-	if !led {
-		return l.view.Registered && since >= startInterval
+	if state.Primary == "" {
+		starter := l.view.Registered && (l.reader(now) == l.config.Self.ID || now > startPatience)
+		if starter && since >= startInterval {
+			return l.upstreamsOf(id)
+		}
+		return nil
+	}
+	if since < probeInterval {
+		return nil
+	}
+	primaryDoubted := slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
+	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
+	if changing && state.SealRank < probingRanks {
+		return l.upstreamsOf(id)
+	}
+	var targets []model.UpstreamID
+	if primaryDoubted {
+		targets = append(targets, state.Primary)
+	}
+	if since >= replicaInterval {
+		for _, suspect := range sign.Suspects {
+			if suspect != state.Primary {
+				targets = append(targets, suspect)
+			}
+		}
+	}
+	return targets
+}
+
+func (l *Loop) upstreamsOf(id model.GroupID) []model.UpstreamID {
+	var all []model.UpstreamID
+	for _, upstream := range l.upstreams {
+		if upstream.Group == id {
+			all = append(all, upstream.ID)
+		}
 	}
-	leaving := l.upstreams[state.Primary].Draining
-	return (watched.doubted || state.Sealed || leaving) && since >= probeInterval
+	return all
 }
 
-// probeGroup probes all upstreams of a group.
-func (l *Loop) probeGroup(id model.GroupID) {
+// probeAll probes the upstreams of a group, none of them twice at once.
+func (l *Loop) probeAll(id model.GroupID, targets []model.UpstreamID) {
 	watched := l.groups[id]
-	if watched == nil || watched.probing > 0 {
+	if watched == nil || watched.probing > 0 || len(targets) == 0 {
 		return
 	}
 	watched.probedAt = l.now()
-	for _, upstream := range l.upstreams {
-		if upstream.Group != id {
+	for _, target := range targets {
+		upstream, known := l.upstreams[target]
+		if !known {
 			continue
 		}
 		watched.probing++
 		l.tasks.Go(func() {
-			probed := l.probe(upstream)
+			probed, err := l.probe(upstream)
 			l.post(func() {
 				watched.probing--
-				if probed.Reachable {
-					l.config.Traffic.ProbeAnswered(id, upstream.ID)
-				}
-				l.step(probed)
+				l.probed(probed, err)
 			})
 		})
 	}
 }
 
-func (l *Loop) probe(upstream catalog.Upstream) failover.Probed {
+// probed takes the result of a probe. One that finds no room says only that
+// the upstream is there.
+func (l *Loop) probed(result failover.Probed, err error) {
+	busy := errors.Is(err, ErrBusy)
+	if result.Reachable || busy {
+		l.config.Traffic.ProbeAnswered(result.Group, result.Upstream)
+	}
+	if !busy {
+		l.step(result)
+	}
+}
+
+func (l *Loop) probe(upstream catalog.Upstream) (failover.Probed, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
 	probed := failover.Probed{Group: upstream.Group, Upstream: upstream.ID, StartedAt: l.now()}
 	sample, err := l.config.Upstreams.Probe(ctx, upstream)
 	if err != nil {
-		return probed
+		return probed, err
 	}
 	probed.Reachable = true
 	probed.Timeline = sample.Term
 	probed.Recovering = !sample.Primary
 	probed.LSN = sample.Received
-	return probed
+	return probed, nil
 }
 
 // expected returns when the groups without a primary are expected to have one.
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -470,7 +470,6 @@
 // Unreachable records a connection that failed.
 func (g *Group) Unreachable(now time.Duration, id model.UpstreamID) {
 	if target := g.upstream(id); target != nil {
-		target.avoidUntil = now + avoidAfterFailure
 		if !target.down {
 			target.down = true
 			target.downSince = now
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -21,9 +21,6 @@
 	slownessForget = 500 * time.Millisecond
 	// slownessMax bounds what one statement counts.
 	slownessMax = 20
-	// avoidAfterFailure is the time for which an upstream gets no units after a
-	// connection to it failed.
-	avoidAfterFailure = 100 * time.Millisecond
 )
 
 // Spec is what the configuration and the control state say of an upstream.
@@ -62,8 +59,6 @@
 	// first of them was sent, or the last answer came if that was later.
 	pending     int
 	silentSince time.Duration
-	// avoidUntil is when units may go there again.
-	avoidUntil time.Duration
 	// down is set since a connection failed, until one succeeds.
 	down      bool
 	downSince time.Duration
@@ -106,9 +101,10 @@
 	return now-u.silentSince > suspectAfter+min(u.peak, maxUsualLatency)
 }
 
-// isReachable reports whether units may be sent.
+// isReachable reports whether units may be sent. An upstream to which a
+// connection failed gets none until it has answered a probe.
 func (u *upstream) isReachable(now time.Duration) bool {
-	return now >= u.avoidUntil && !u.isSuspect(now)
+	return !u.down && !u.isSuspect(now)
 }
 
 // troubledSince returns when the upstream was last known to be well, if it is
@@ -123,7 +119,6 @@
 // well records that the upstream has answered.
 func (u *upstream) well(now time.Duration) {
 	u.silentSince = now
-	u.avoidUntil = 0
 	u.down = false
 }
 
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -45,6 +45,9 @@
 	PrimaryReachable bool
 	// Replicas names the upstreams that reads may go to, ordered by ID.
 	Replicas []ReplicaView
+	// SealRank is this instance's place among those that would replace the
+	// primary; 0 comes first.
+	SealRank int
 }
 
 // ReplicaView is a replica that follows the generation's timeline.
@@ -93,6 +96,7 @@
 		Timeline:   gh.Timeline,
 		Sealed:     gh.Seal != nil || g.stopped >= gh.Generation || g.permit.drainUntil != 0,
 		Draining:   g.permit.drainUntil != 0,
+		SealRank:   m.rank("seal/"+string(g.id), ""),
 	}
 	if g.permit.generation == gh.Generation {
 		view.PermitUntil = g.permit.until
--- a/pkg/transport/textback/prober.go
+++ b/pkg/transport/textback/prober.go
@@ -20,6 +20,12 @@
 // NewProber returns a prober that opens its connections as the pools do.
 func NewProber(pools *Pools) *Prober { return &Prober{pools: pools} }
 
+// IsFull reports whether an upstream refused one more connection.
+func IsFull(err error) bool {
+	var refused *ErrRefused
+	return errors.As(err, &refused) && refused.Reason == statement.TooManyConnections
+}
+
 // errNoStatus means that an upstream gave no readable status.
 var errNoStatus = errors.New("no status")
 
@@ -29,6 +35,9 @@
 		return region.Sample{}, errNoUpstream
 	}
 	conn, err := p.pools.Dial(ctx, upstream)
+	if IsFull(err) {
+		return region.Sample{}, region.ErrBusy
+	}
 	if err != nil {
 		return region.Sample{}, err
 	}
@@ -41,6 +50,9 @@
 	if err != nil {
 		return region.Sample{}, err
 	}
+	if answer.Reason == statement.Busy {
+		return region.Sample{}, region.ErrBusy
+	}
 	if answer.Reason != statement.Succeeded || len(answer.Rows) == 0 {
 		return region.Sample{}, errors.Wrap(errNoStatus, answer.Reason.String())
 	}
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/protocol/statement"
@@ -129,9 +128,7 @@
 }
 
 func (u *unit) connectFailed(err error) {
-	var refused *textback.ErrRefused
-	full := errors.As(err, &refused) && refused.Reason == statement.TooManyConnections
-	if full {
+	if textback.IsFull(err) {
 		u.dispatch().Full(u.route.Group, u.placement, u.pools().Open(u.placement.Upstream))
 	} else {
 		u.dispatch().Unreachable(u.route.Group, u.placement)
