--- a/pkg/coordination/region/follow.go
+++ b/pkg/coordination/region/follow.go
@@ -65,6 +65,7 @@
 		if errors.Is(err, ErrHistoryGone) {
 			events.Log(l.ctx, l.config.Logger, events.TableHistoryGone, slog.String("table", table.name))
 			version = -1
+			wait(l.ctx, firstFeedPause)
 			continue
 		}
 		if err != nil {
--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -203,7 +203,7 @@
 	if since < probeInterval {
 		return nil
 	}
-	primaryDoubted := slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
+	primaryDoubted := state.PrimaryLost || slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
 	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
 	if changing && state.SealRank < probingRanks {
 		return l.upstreamsOf(id)
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -41,8 +41,10 @@
 	// out; zero without one. It must be compared with the present time before a
 	// write is sent and again before it is acknowledged.
 	PermitUntil time.Duration
-	// PrimaryReachable is this instance's own view.
+	// PrimaryReachable is this instance's own view, and PrimaryLost what it
+	// tells the others.
 	PrimaryReachable bool
+	PrimaryLost      bool
 	// Replicas names the upstreams that reads may go to, ordered by ID.
 	Replicas []ReplicaView
 	// SealRank is this instance's place among those that would replace the
@@ -97,6 +99,8 @@
 		Sealed:     gh.Seal != nil || g.stopped >= gh.Generation || g.permit.drainUntil != 0,
 		Draining:   g.permit.drainUntil != 0,
 		SealRank:   m.rank("seal/"+string(g.id), ""),
+
+		PrimaryLost: g.ownLost,
 	}
 	if g.permit.generation == gh.Generation {
 		view.PermitUntil = g.permit.until
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -156,10 +156,17 @@
 			return true
 		}
 		s.followDeparture()
-		if s.state == statement.Idle && s.isDueToClose() && !s.quiet.HasInput() {
+		due := s.state == statement.Idle && s.isDueToClose()
+		if due && !s.quiet.HasInput() {
 			return false
 		}
-		_ = s.socket.SetReadDeadline(s.waitUntil())
+		until := s.waitUntil()
+		if due {
+			// What has arrived is still to be read, which a deadline in the past
+			// would prevent.
+			until = time.Now().Add(lineTimeout)
+		}
+		_ = s.socket.SetReadDeadline(until)
 		if s.server.departure.Load() != s.leftWith {
 			continue
 		}
