Order the switch from a leaving primary where its replicas are known, and by the next instance in rank if the first does not

Both go by one rank now, and the next in rank follows after 0.7 s. Ruled out: the feed (all instances knew of it within 10 ms).

--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -32,6 +32,8 @@
 	// probingRanks is the number of instances that probe all upstreams of a
 	// group whose primary may be replaced.
 	probingRanks = 2
+	// rankPatience is the time after which one more of them does.
+	rankPatience = 500 * time.Millisecond
 	// doubtFor is how long a doubt lasts that nothing renews.
 	doubtFor = time.Second
 	// signInterval is the least time between two answers of a primary that the
@@ -54,6 +56,8 @@
 	doubted    bool
 	// peerDoubtUntil is when the last doubt of a peer about the primary ends.
 	peerDoubtUntil time.Duration
+	// changingSince is when the primary was last found in no need of a change.
+	changingSince time.Duration
 	// probedAt is when the upstreams were last probed, and probing is the
 	// number of probes in flight.
 	probedAt time.Duration
@@ -200,12 +204,16 @@
 		}
 		return nil
 	}
+	primaryDoubted := state.PrimaryLost || slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
+	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
+	if !changing {
+		watched.changingSince = now
+	}
+	ranks := probingRanks + int((now-watched.changingSince)/rankPatience)
 	if since < probeInterval {
 		return nil
 	}
-	primaryDoubted := state.PrimaryLost || slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
-	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
-	if changing && state.SealRank < probingRanks {
+	if changing && state.SealRank < ranks {
 		return l.upstreamsOf(id)
 	}
 	var targets []model.UpstreamID
--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -28,6 +28,7 @@
 	defaultDrainWait        = 500 * time.Millisecond
 	defaultSwitchWait       = 4 * time.Second
 	defaultLeavingRetry     = 10 * time.Second
+	defaultLeavingStagger   = 700 * time.Millisecond
 	defaultMaxPromiseTime   = 5 * time.Minute
 	defaultSuspectAfter     = 1500 * time.Millisecond
 	defaultEvictAfter       = time.Minute
@@ -92,6 +93,9 @@
 	// LeavingRetry is the time between two orders to switch away from a primary
 	// that is leaving.
 	LeavingRetry time.Duration
+	// LeavingStagger is the delay for each rank before an instance orders that
+	// switch.
+	LeavingStagger time.Duration
 	// MaxPromiseTime bounds the time for which permits are renewed by promises
 	// alone.
 	MaxPromiseTime time.Duration
@@ -170,6 +174,7 @@
 	set(&c.DrainWait, defaultDrainWait)
 	set(&c.SwitchWait, defaultSwitchWait)
 	set(&c.LeavingRetry, defaultLeavingRetry)
+	set(&c.LeavingStagger, defaultLeavingStagger)
 	set(&c.MaxPromiseTime, defaultMaxPromiseTime)
 	set(&c.SuspectAfter, defaultSuspectAfter)
 	set(&c.ReachableFor, defaultReachableFor)
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -28,6 +28,8 @@
 	// ownLost is true while this instance's own probes have lost the primary.
 	ownLost bool
 	planned plannedSwitch
+	// leavingSince is when the primary was first found to be leaving.
+	leavingSince time.Duration
 	// leftAt is when this instance last ordered a switch away from a leaving
 	// primary.
 	leftAt time.Duration
--- a/pkg/state/failover/switch.go
+++ b/pkg/state/failover/switch.go
@@ -60,17 +60,29 @@
 }
 
 // leavePrimary orders a planned switch away from a primary that is leaving. The
-// first heard member in rank does so, and again after LeavingRetry if it fails.
+// first heard member in rank does so, the next ones after LeavingStagger each,
+// and again after LeavingRetry if it fails.
 func (m *Machine) leavePrimary(g *group, gh model.GroupHead) {
 	primary := g.upstream(gh.Primary)
-	if primary == nil || !primary.spec.Leaving || g.planned.asked {
+	if primary == nil || !primary.spec.Leaving {
+		g.leavingSince = 0
+		return
+	}
+	if g.leavingSince == 0 {
+		g.leavingSince = m.now
+	}
+	if g.planned.asked {
 		return
 	}
 	if g.leftAt != 0 && m.now-g.leftAt < m.cfg.LeavingRetry {
 		return
 	}
+	rank := m.rank("seal/"+string(g.id), "")
+	if m.now-g.leavingSince < time.Duration(rank)*m.cfg.LeavingStagger {
+		return
+	}
 	target := m.best(g, gh, "")
-	if target == nil || m.refuseSwitch(g, target.spec.ID) != "" || m.rank("leave/"+string(g.id), "") != 0 {
+	if target == nil || m.refuseSwitch(g, target.spec.ID) != "" {
 		return
 	}
 	g.leftAt = m.now
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -117,6 +117,25 @@
 		must(client, "WRITE a 2")
 	})
 
+	// The instance that was to order the switch was not the one that knew the
+	// replicas, or was turned away by the store, so that nobody did.
+	It("moves away from a primary that drains, whichever instance the store turns away", func() {
+		system := start()
+		client := dial(system, 0, hosted.DatabaseLatest)
+		for _, instance := range system.Instances {
+			instance.ToStore.Reset()
+			before := system.Group.Primary()
+			before.SetDraining(true)
+			Eventually(func() bool {
+				primary := system.Group.Primary()
+				return primary != nil && primary.ID != before.ID
+			}, patience, 50*time.Millisecond).Should(BeTrue())
+			instance.ToStore.Heal()
+			before.SetDraining(false)
+			must(client, "WRITE a 1")
+		}
+	})
+
 	It("says that the outcome is unknown if the answer to a write is lost", func() {
 		system := start()
 		client := dial(system, 0, hosted.DatabaseLatest)
