Split the control state's watch and the dispatch decisions by job

No behaviour changes: probes and promotion of a hosted instance, and the places, refusals and observations of dispatch stand in files of their own.

--- /dev/null
+++ b/pkg/coordination/region/probes.go
@@ -0,0 +1,113 @@
+package region
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
+)
+
+// probeTargets returns the upstreams that are to be probed now. Only what is
+// doubted is asked by all; what a change of primary needs to know of the others
+// is asked by those that would carry it out.
+func (l *Loop) probeTargets(
+	now time.Duration, id model.GroupID, watched *groupWatch, state failover.GroupView, sign Sign,
+) []model.UpstreamID {
+	since := now - watched.probedAt
+	if state.Primary == "" {
+		starter := l.view.Registered && (l.reader(now) == l.config.Self.ID || now > startPatience)
+		if starter && since >= startInterval {
+			return l.upstreamsOf(id)
+		}
+		return nil
+	}
+	primaryDoubted := state.PrimaryLost || slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
+	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
+	if !changing {
+		watched.changingSince = now
+	}
+	ranks := probingRanks + int((now-watched.changingSince)/rankPatience)
+	if since < probeInterval {
+		return nil
+	}
+	if changing && state.SealRank < ranks {
+		return l.upstreamsOf(id)
+	}
+	var targets []model.UpstreamID
+	if primaryDoubted {
+		targets = append(targets, state.Primary)
+	}
+	if since >= replicaInterval {
+		for _, suspect := range sign.Suspects {
+			if suspect != state.Primary {
+				targets = append(targets, suspect)
+			}
+		}
+	}
+	return targets
+}
+
+func (l *Loop) upstreamsOf(id model.GroupID) []model.UpstreamID {
+	var all []model.UpstreamID
+	for _, upstream := range l.upstreams {
+		if upstream.Group == id {
+			all = append(all, upstream.ID)
+		}
+	}
+	return all
+}
+
+// probeAll probes the upstreams of a group, none of them twice at once.
+func (l *Loop) probeAll(id model.GroupID, targets []model.UpstreamID) {
+	watched := l.groups[id]
+	if watched == nil || watched.probing > 0 || len(targets) == 0 {
+		return
+	}
+	watched.probedAt = l.now()
+	for _, target := range targets {
+		upstream, known := l.upstreams[target]
+		if !known {
+			continue
+		}
+		watched.probing++
+		l.tasks.Go(func() {
+			probed, err := l.probe(upstream)
+			l.post(func() {
+				watched.probing--
+				l.probed(probed, err)
+			})
+		})
+	}
+}
+
+// probed takes the result of a probe. One that finds no room says only that
+// the upstream is there.
+func (l *Loop) probed(result failover.Probed, err error) {
+	busy := errors.Is(err, ErrBusy)
+	if result.Reachable || busy {
+		l.config.Traffic.ProbeAnswered(result.Group, result.Upstream)
+	}
+	if !busy {
+		l.step(result)
+	}
+}
+
+func (l *Loop) probe(upstream catalog.Upstream) (failover.Probed, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
+	defer cancel()
+	probed := failover.Probed{Group: upstream.Group, Upstream: upstream.ID, StartedAt: l.now()}
+	sample, err := l.config.Upstreams.Probe(ctx, upstream)
+	if err != nil {
+		return probed, err
+	}
+	probed.Reachable = true
+	probed.Timeline = sample.Term
+	probed.Recovering = !sample.Primary
+	probed.LSN = sample.Received
+	return probed, nil
+}
--- /dev/null
+++ b/pkg/state/dispatch/observe.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// usualLatency returns that of a kind of work.
+func (g *Group) usualLatency(route string) time.Duration {
+	if usual, known := g.usual[route]; known {
+		return usual
+	}
+	return firstUsual
+}
+
+// Patience returns the time after which an answer is more likely lost than
+// late.
+func (g *Group) Patience(route string) time.Duration {
+	return max(minPatience, usualPatience*g.usualLatency(route), longestPatience*g.longest[route]/patienceScale)
+}
+
+// Release gives back the connection of a placement.
+func (g *Group) Release(now time.Duration, placement *Placement) {
+	if held := g.upstream(placement.Upstream); held != nil && held.inUse > 0 {
+		held.inUse--
+		held.rest(placement)
+		held.holding += time.Duration(usualGain * float64(now-placement.At-held.holding))
+	}
+}
+
+// Sent records a statement that waits for the answer of an upstream.
+func (g *Group) Sent(now time.Duration, placement *Placement) {
+	if target := g.upstream(placement.Upstream); target != nil {
+		target.resume(placement)
+		if target.pending == 0 {
+			target.silentSince = now
+		}
+		target.pending++
+	}
+}
+
+// Answered records the answer to a statement that was sent.
+func (g *Group) Answered(now time.Duration, placement *Placement, route string, latency time.Duration) {
+	target := g.upstream(placement.Upstream)
+	if target == nil {
+		return
+	}
+	target.rest(placement)
+	target.pending = max(0, target.pending-1)
+	target.well(now)
+	target.observe(now, latency, g.usualLatency(route))
+	g.longest[route] = max(latency, time.Duration(longestDecay*float64(g.longest[route])))
+	g.usual[route] = g.usualLatency(route) + time.Duration(usualGain*float64(latency-g.usualLatency(route)))
+}
+
+// GivenUp records that the answer to a statement is no longer waited for.
+func (g *Group) GivenUp(placement *Placement) {
+	if target := g.upstream(placement.Upstream); target != nil {
+		target.rest(placement)
+		target.pending = max(0, target.pending-1)
+	}
+}
+
+// Unreachable records a connection that failed.
+func (g *Group) Unreachable(now time.Duration, id model.UpstreamID) {
+	if target := g.upstream(id); target != nil {
+		if !target.down {
+			target.down = true
+			target.downSince = now
+		}
+	}
+}
+
+// Reached records a connection that was opened.
+func (g *Group) Reached(now time.Duration, id model.UpstreamID) {
+	if target := g.upstream(id); target != nil {
+		target.well(now)
+	}
+}
+
+// Full records that an upstream refused a further connection while this
+// instance had the given number.
+func (g *Group) Full(now time.Duration, id model.UpstreamID, open int) {
+	if target := g.upstream(id); target != nil {
+		target.full = open
+		target.fullUntil = now + fullFor
+	}
+}
+
+// fullFor is the time after which a connection is tried again at an upstream
+// that refused one.
+const fullFor = 100 * time.Millisecond
+
+// Suspects returns the upstreams that have been silent for too long.
+func (g *Group) Suspects(now time.Duration) []model.UpstreamID {
+	var suspects []model.UpstreamID
+	for _, candidate := range g.upstreams {
+		if candidate.down || candidate.isSuspect(now) {
+			suspects = append(suspects, candidate.spec.ID)
+		}
+	}
+	return suspects
+}
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -47,7 +47,6 @@
 	codec statement.UpstreamCodec
 	// caller is the name under which connections are opened.
 	caller string
-	// control sets options of each socket; nil for none.
 	dialer *net.Dialer
 
 	mu    sync.Mutex
