End the background read that a login may leave on a connection

Cause: package pgconn starts a goroutine that reads in the background while a write of the login takes over 15 ms, as on a busy machine. If it has read the last answer of the login before it is told to stop, it goes on to wait for the next bytes, and takes the answer to the first request of the connection's first user, which then waits for its deadline. Seen in goroutine dumps: all upstream connections wait for a message, the session waits for an answer, and nobody else reads any more. Ruled out: shared batch buffers and prepared names (the upstream had answered all that it got).

--- a/pkg/transport/pgback/dial.go
+++ b/pkg/transport/pgback/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -62,9 +63,35 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", upstream.ID)
 	}
+	if err := endBackgroundRead(hijacked); err != nil {
+		_ = hijacked.Conn.Close()
+		return nil, errors.Wrapf(err, "connect to %s", upstream.ID)
+	}
 	return d.wrap(hijacked, upstream), nil
 }
 
+// errUnexpectedMessage means that an upstream said something after its login
+// that nobody asked for.
+var errUnexpectedMessage = errors.New("message without a request")
+
+// endBackgroundRead ends a read that package pgconn may have left pending. It
+// starts one during a slow write of the login, which would take the answer to
+// the connection's first request. The deadline in the past lets that read
+// return, and the next one of the login's frontend waits for it.
+func endBackgroundRead(hijacked *pgconn.HijackedConn) error {
+	if err := hijacked.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Wrap(err, "set deadline")
+	}
+	_, err := hijacked.Frontend.Receive()
+	if err == nil {
+		return errUnexpectedMessage
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Wrap(err, "after login")
+	}
+	return hijacked.Conn.SetReadDeadline(time.Time{})
+}
+
 func (d *dialer) config(group *bundle.Group, upstream *bundle.Upstream) (*pgconn.Config, error) {
 	address, err := netip.ParseAddrPort(upstream.Address)
 	if err != nil {
