Ask upstreams for their state on an idle connection, if there is one

Cause: each question was a new connection. Where the connections of an upstream are all taken (28 instances with one each, limit 28) it is refused, and no instance knows a position: a planned switch neither starts nor ends. Ruled out: the store that turned some instances away (the seal and all confirmations were there within 70 ms). The spec with a limit of one connection for each instance fails without the change.

--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -133,14 +133,41 @@
 	if held == nil {
 		return nil, catalog.Upstream{}, errNoUpstream
 	}
-	last := len(held.idle) - 1
-	if last < 0 {
+	if len(held.idle) == 0 {
 		held.open++
 		return nil, held.upstream, nil
 	}
-	taken := held.idle[last]
-	held.idle = held.idle[:last]
-	return taken, held.upstream, nil
+	return held.takeIdle(), held.upstream, nil
+}
+
+// lendIdle takes an idle connection to this process of the upstream; nil if
+// there is none. It is given back with Put.
+func (p *Pools) lendIdle(upstream catalog.Upstream) *Conn {
+	for {
+		conn := p.popIdle(upstream)
+		if conn == nil || conn.isUsable() {
+			return conn
+		}
+		p.drop(conn)
+	}
+}
+
+func (p *Pools) popIdle(upstream catalog.Upstream) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.pools[upstream.ID]
+	if held == nil || len(held.idle) == 0 || !held.upstream.SameProcess(upstream) {
+		return nil
+	}
+	return held.takeIdle()
+}
+
+// takeIdle takes the connection that was used last. There must be one.
+func (h *pool) takeIdle() *Conn {
+	last := len(h.idle) - 1
+	taken := h.idle[last]
+	h.idle = h.idle[:last]
+	return taken
 }
 
 // open opens a connection that is already counted.
--- a/pkg/transport/textback/prober.go
+++ b/pkg/transport/textback/prober.go
@@ -11,8 +11,13 @@
 	"gypsumdock/pkg/state/catalog"
 )
 
-// Prober asks upstreams for their state, each time on a new connection, so
-// that one which has gone silent says nothing of the upstream.
+// idleProbeTimeout bounds the wait for an answer on a connection of the pool,
+// which may have gone silent while the upstream serves new ones.
+const idleProbeTimeout = 100 * time.Millisecond
+
+// Prober asks upstreams for their state: on an idle connection if there is one,
+// as an upstream whose connections are all taken refuses a new one, and on a
+// new one if that gave no answer.
 type Prober struct{ pools *Pools }
 
 var _ region.Upstreams = (*Prober)(nil)
@@ -26,14 +31,21 @@
 	return errors.As(err, &refused) && refused.Reason == statement.TooManyConnections
 }
 
-// errNoStatus means that an upstream gave no readable status.
-var errNoStatus = errors.New("no status")
+var (
+	// errNoStatus means that an upstream gave no readable status.
+	errNoStatus = errors.New("no status")
+	// errNoIdle means that no connection to the upstream is idle.
+	errNoIdle = errors.New("no idle connection")
+)
 
 // Probe asks the upstream for its state.
 func (p *Prober) Probe(ctx context.Context, upstream catalog.Upstream) (region.Sample, error) {
 	if upstream.Address == "" {
 		return region.Sample{}, errNoUpstream
 	}
+	if sample, err := p.probeIdle(ctx, upstream); err == nil || errors.Is(err, region.ErrBusy) {
+		return sample, err
+	}
 	conn, err := p.pools.Dial(ctx, upstream)
 	if IsFull(err) {
 		return region.Sample{}, region.ErrBusy
@@ -42,11 +54,33 @@
 		return region.Sample{}, err
 	}
 	defer conn.close()
-	deadline, bounded := ctx.Deadline()
-	if !bounded {
-		deadline = time.Now().Add(dialTimeout)
+	return conn.status(deadlineOf(ctx, dialTimeout))
+}
+
+// probeIdle asks on an idle connection. It returns errNoIdle if there is none.
+func (p *Prober) probeIdle(ctx context.Context, upstream catalog.Upstream) (region.Sample, error) {
+	conn := p.pools.lendIdle(upstream)
+	if conn == nil {
+		return region.Sample{}, errNoIdle
 	}
-	answer, err := conn.Exchange(conn.codec.AppendOrder(nil, statement.AskStatus, 0), deadline)
+	sample, err := conn.status(deadlineOf(ctx, idleProbeTimeout))
+	p.pools.Put(conn, err == nil || errors.Is(err, region.ErrBusy))
+	return sample, err
+}
+
+// deadlineOf returns the deadline of a call that takes no longer than limit.
+func deadlineOf(ctx context.Context, limit time.Duration) time.Time {
+	deadline := time.Now().Add(limit)
+	if end, bounded := ctx.Deadline(); bounded && end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
+
+// status asks the upstream for its state. It returns region.ErrBusy if no slot
+// was free for the question.
+func (c *Conn) status(deadline time.Time) (region.Sample, error) {
+	answer, err := c.Exchange(c.codec.AppendOrder(nil, statement.AskStatus, 0), deadline)
 	if err != nil {
 		return region.Sample{}, err
 	}
@@ -56,7 +90,7 @@
 	if answer.Reason != statement.Succeeded || len(answer.Rows) == 0 {
 		return region.Sample{}, errors.Wrap(errNoStatus, answer.Reason.String())
 	}
-	status, err := conn.codec.ParseStatus(answer.Rows[0])
+	status, err := c.codec.ParseStatus(answer.Rows[0])
 	if err != nil {
 		return region.Sample{}, err
 	}
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -20,10 +20,12 @@
 // patience is a bound that only a hang exceeds.
 const patience = time.Minute
 
-func start() *hosted.System {
+func start() *hosted.System { return startWith(hosted.DefaultOptions()) }
+
+func startWith(options hosted.Options) *hosted.System {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	system, err := hosted.Start(ctx, hosted.DefaultOptions())
+	system, err := hosted.Start(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(system.Close)
 	return system
@@ -136,6 +138,24 @@
 		}
 	})
 
+	// Each question for a state was a new connection, which a database without
+	// room refuses: nobody knew the positions, and no switch could end.
+	It("moves away from a primary that drains while its connections are all taken", func() {
+		options := hosted.DefaultOptions()
+		options.Group.MaxConnections = options.Instances
+		system := startWith(options)
+		for instance := range system.Instances {
+			must(dial(system, instance, hosted.DatabaseLatest), "WRITE a 1")
+		}
+		before := system.Group.Primary()
+		before.SetDraining(true)
+		Eventually(func() bool {
+			primary := system.Group.Primary()
+			return primary != nil && primary.ID != before.ID
+		}, patience, 50*time.Millisecond).Should(BeTrue())
+		must(dial(system, 0, hosted.DatabaseLatest), "WRITE a 2")
+	})
+
 	It("says that the outcome is unknown if the answer to a write is lost", func() {
 		system := start()
 		client := dial(system, 0, hosted.DatabaseLatest)
