Hold connections to a small upstream at a few instances, which lend them

Cause: where an upstream takes about as many connections as there are instances, each instance held one. One connection is also blocked by one transaction that waits. Now instances of the upstream's data centre hold up to two thirds of its connections, the others borrow one for each unit of work, and open one of their own only where no holder answers. Decided in pkg/state/lending, carried by pkg/transport/textlend over the mesh. Ruled out: closing idle connections sooner (37 handshakes of 12 ms a second take a quarter of the two slots).

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,20 +15,25 @@
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/dispatch"
+	"gypsumdock/pkg/state/lending"
+	"gypsumdock/pkg/state/members"
 	"gypsumdock/pkg/state/model"
 )
 
-// reservedConnections is the number of connections to each upstream that
-// instances leave to probes and to clients that connect directly.
-const reservedConnections = 3
+// borrowedUnits bounds the units of this instance on connections of others to
+// one upstream.
+const borrowedUnits = 3
 
 // Config is what a Dispatcher needs.
 type Config struct {
 	Clock region.Clock
 	// Home is the data centre of this instance.
 	Home model.DataCentre
-	// UseUpstreams is told of the upstreams in use whenever they change.
-	UseUpstreams func(map[model.UpstreamID]catalog.Upstream)
+	// Self is this instance.
+	Self model.InstanceID
+	// UseUpstreams is told of the upstreams in use, and how they are reached,
+	// whenever that changes.
+	UseUpstreams func(map[model.UpstreamID]catalog.Upstream, map[model.UpstreamID]lending.Plan)
 }
 
 // Dispatcher implements region.Traffic. It is safe for concurrent use.
@@ -83,15 +90,17 @@
 func (d *Dispatcher) Publish(snapshot *region.Snapshot) {
 	before := d.snapshot.Swap(snapshot)
 	changed := before.Instances != snapshot.Instances || before.Catalog != snapshot.Catalog ||
-		!sameUpstreams(before.Upstreams, snapshot.Upstreams)
+		!maps.Equal(before.Upstreams, snapshot.Upstreams) || !slices.Equal(serving(before), serving(snapshot))
+	var plans map[model.UpstreamID]lending.Plan
 	if changed {
-		d.config.UseUpstreams(snapshot.Upstreams)
+		plans = d.plans(snapshot)
+		d.config.UseUpstreams(snapshot.Upstreams, plans)
 	}
 	for _, configured := range snapshot.Catalog.Used() {
 		known := d.group(configured.ID)
 		known.mu.Lock()
 		if changed {
-			known.decides.SetUpstreams(specs(snapshot, &configured))
+			known.decides.SetUpstreams(specs(snapshot, &configured, plans))
 		}
 		known.decides.SetLeadership(leadership(snapshot, configured.ID))
 		known.settle(d.Now())
@@ -99,19 +108,36 @@
 	}
 }
 
-func sameUpstreams(a, b map[model.UpstreamID]catalog.Upstream) bool {
-	if len(a) != len(b) {
-		return false
+// serving returns the instances that are known to serve.
+func serving(snapshot *region.Snapshot) []model.Member {
+	var present []model.Member
+	for _, member := range snapshot.View.Members {
+		if member.State == members.Live && !member.Member.Leaving && member.Member.Evicted == 0 {
+			present = append(present, member.Member)
+		}
 	}
-	for id, upstream := range a {
-		if b[id] != upstream {
-			return false
+	return present
+}
+
+// plans returns how this instance reaches each upstream.
+func (d *Dispatcher) plans(snapshot *region.Snapshot) map[model.UpstreamID]lending.Plan {
+	present := serving(snapshot)
+	plans := make(map[model.UpstreamID]lending.Plan, len(snapshot.Upstreams))
+	for id, upstream := range snapshot.Upstreams {
+		configured, found := snapshot.Catalog.Group(upstream.Group)
+		if !found {
+			continue
 		}
+		plans[id] = lending.NewPlan(d.config.Self, lending.Upstream{
+			ID: id, DataCentre: upstream.DataCentre, MaxConnections: configured.MaxConnections,
+		}, snapshot.Instances, present)
 	}
-	return true
+	return plans
 }
 
-func specs(snapshot *region.Snapshot, configured *catalog.Group) []dispatch.Spec {
+func specs(
+	snapshot *region.Snapshot, configured *catalog.Group, plans map[model.UpstreamID]lending.Plan,
+) []dispatch.Spec {
 	var made []dispatch.Spec
 	for _, upstream := range snapshot.Upstreams {
 		if upstream.Group != configured.ID || upstream.Address == "" {
@@ -121,7 +147,7 @@
 			ID:         upstream.ID,
 			DataCentre: upstream.DataCentre,
 			Slots:      upstream.Slots,
-			Limit:      connectionShare(configured.MaxConnections, snapshot.Instances),
+			Limit:      unitLimit(plans[upstream.ID]),
 			Window:     statementWindow(upstream.Slots, snapshot.Instances),
 			Draining:   upstream.Draining,
 		})
@@ -129,12 +155,13 @@
 	return made
 }
 
-// connectionShare returns the connections to an upstream that one of the
-// instances may use. One for each instance stays free: the connections of an
-// instance that lost power count at the upstream for seconds after its return.
-func connectionShare(all, instances int) int {
-	reserved := max(reservedConnections, instances)
-	return max(1, (all-reserved)/instances)
+// unitLimit returns the number of units that this instance may have at an
+// upstream.
+func unitLimit(plan lending.Plan) int {
+	if plan.Borrows() {
+		return borrowedUnits
+	}
+	return plan.Own
 }
 
 // statementWindow returns the number of statements that one of the instances
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -21,13 +21,16 @@
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/lending"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/mesh"
 	"gypsumdock/pkg/transport/meshpeer"
 	"gypsumdock/pkg/transport/textback"
 	"gypsumdock/pkg/transport/textfront"
+	"gypsumdock/pkg/transport/textlend"
 	"gypsumdock/platform"
 )
 
@@ -77,6 +80,9 @@
 	// closeMargin is the time between the last session's end and the end of a
 	// stop.
 	closeMargin = 700 * time.Millisecond
+	// ownWhileBorrowing is the number of connections to an upstream that an
+	// instance opens for itself while no holder answers it.
+	ownWhileBorrowing = 1
 	// memoryShare is the part of the memory limit at which the garbage
 	// collector works harder.
 	memoryShare = 0.6
@@ -91,6 +97,8 @@
 	self     model.Member
 	store    *platform.Store
 	pools    *textback.Pools
+	lender   *textlend.Lender
+	borrower *textlend.Borrower
 	dispatch *dispatcher.Dispatcher
 	loop     *region.Loop
 	mesh     *mesh.Node
@@ -136,25 +144,44 @@
 	wire := platform.Wire{}
 	h.store = platform.NewStore(h.settings.Store, storeTimeout)
 	h.pools = textback.New(wire, h.settings.Machine)
+	h.lender = textlend.NewLender(h.pools)
+	h.borrower = textlend.NewBorrower(h.pools, wire)
 	h.dispatch = dispatcher.New(dispatcher.Config{
-		Clock: h.clock, Home: h.settings.DataCentre, UseUpstreams: h.pools.Set,
+		Clock: h.clock, Self: h.self.ID, Home: h.settings.DataCentre, UseUpstreams: h.useUpstreams,
 	})
 	peers := meshpeer.New(meshCallTimeout)
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
 	}
 	h.mesh = mesh.New(mesh.Config{
-		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{h.loop}, Logger: h.logger,
+		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, lender: h.lender}, Logger: h.logger,
 	})
 	h.mesh.SetSeeds(h.seeds())
 	peers.Connect(h.mesh)
+	h.borrower.Connect(h.mesh)
 	h.front = textfront.New(textfront.Config{
-		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Logger: h.logger, Stop: h.stopTimes(),
+		Listener: callers, Codec: wire, Dispatch: h.dispatch, Links: h.borrower, Logger: h.logger, Stop: h.stopTimes(),
 	})
 	h.ready = &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: time.Second}
 	return nil
 }
 
+// useUpstreams puts the upstreams in use, and how each is reached.
+func (h *Hosted) useUpstreams(upstreams map[model.UpstreamID]catalog.Upstream, plans map[model.UpstreamID]lending.Plan) {
+	limits := make(map[model.UpstreamID]textback.Limit)
+	for id, plan := range plans {
+		switch {
+		case plan.Borrows():
+			limits[id] = textback.Limit{InUse: ownWhileBorrowing, Temporary: true}
+		case plan.Lends():
+			limits[id] = textback.Limit{InUse: plan.Own}
+		}
+	}
+	h.pools.Set(upstreams, limits)
+	h.lender.SetPlans(plans)
+	h.borrower.SetPlans(plans)
+}
+
 func (h *Hosted) loopConfig(peers *meshpeer.Peers) region.Config {
 	table := store.Watched(store.Counted(h.store), h.logger, storeTimeout)
 	return region.Config{
@@ -329,12 +356,14 @@
 	h.stopping.set()
 	events.Log(ctx, h.logger, events.StopStarted)
 	h.loop.Leave()
+	h.lender.Refuse()
 	err := h.front.Shutdown(ctx)
 	if err != nil {
 		events.Log(ctx, h.logger, events.StopTimedOut, slog.Any("error", err))
 	} else {
 		events.Log(ctx, h.logger, events.StopDrained)
 	}
+	h.lender.Wait(ctx)
 	h.loop.Finish()
 	deadline := time.Now().Add(closeMargin / 2)
 	for time.Now().Before(deadline) && h.loop.Snapshot().View.Registered {
@@ -346,7 +375,10 @@
 }
 
 // hostedPeer takes what peers send.
-type hostedPeer struct{ loop *region.Loop }
+type hostedPeer struct {
+	loop   *region.Loop
+	lender *textlend.Lender
+}
 
 var _ mesh.Handler = hostedPeer{}
 
@@ -385,7 +417,7 @@
 	reply(meshlink.EncodeRegionAnswer(answer, model.RowVersion(ask.GetHeadVersion())))
 }
 
-// HandleForward refuses units of work: hosted instances forward none.
-func (p hostedPeer) HandleForward(_ context.Context, _ model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
-	_ = conn.Close()
+// HandleForward lends a connection.
+func (p hostedPeer) HandleForward(ctx context.Context, _ model.InstanceID, open *meshpb.ForwardOpen, conn net.Conn) {
+	p.lender.Serve(ctx, open, conn)
 }
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -15,6 +15,7 @@
 var (
 	UpstreamOpened      = counter("gypsumdock_upstream_connections_opened_total", "Connections opened to upstreams.", "upstream")
 	UpstreamClosed      = counter("gypsumdock_upstream_connections_closed_total", "Connections to upstreams closed.", "upstream")
+	Borrowed            = counter("gypsumdock_upstream_borrowed_total", "Units of work over connections of other instances.", "upstream")
 	UpstreamConnections = gauge("gypsumdock_upstream_connections", "Open connections to upstreams.", "upstream")
 	UpstreamGrant       = gauge("gypsumdock_upstream_grant", "Connections that this instance may hold to the upstream.", "upstream")
 	UpstreamLag         = gauge("gypsumdock_upstream_lag_seconds", "Upper bound of a replica's lag.", "upstream")
--- a/pkg/transport/textback/conn.go
+++ b/pkg/transport/textback/conn.go
@@ -42,6 +42,8 @@
 	prepared map[string]bool
 	usedAt   time.Time
 	broken   bool
+	// pool is the one in which the connection is in use; nil while it is idle.
+	pool *pool
 }
 
 // Upstream returns the upstream that the connection was opened to.
--- /dev/null
+++ b/pkg/transport/textback/link.go
@@ -0,0 +1,45 @@
+package textback
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/model"
+)
+
+// ErrNotSent means that a statement did not leave the proxy: it has not run.
+var ErrNotSent = errors.New("the statement was not sent")
+
+// ErrNoRoom means that no connection became free in time.
+var ErrNoRoom = errors.New("no connection is free")
+
+// Link is a connection to an upstream for one unit of work. Conn is one of this
+// instance; package textlend has those of others. It belongs to one goroutine.
+type Link interface {
+	// Codec returns the wire format of the upstream.
+	Codec() statement.UpstreamCodec
+	// Adopt gives the connection the session values, and only these, before the
+	// next Exchange.
+	Adopt(values map[string]string, deadline time.Time) error
+	// Prepare makes sure that a statement is prepared before the next Exchange.
+	Prepare(name string, readOnly bool, shape string, deadline time.Time) error
+	// Forget drops the knowledge that a statement is prepared.
+	Forget(name string)
+	// Exchange sends a statement and reads its answer. After an error the link
+	// must not be used again, and the statement may have run unless the error
+	// is ErrNotSent.
+	Exchange(data []byte, deadline time.Time) (*statement.Answer, error)
+}
+
+var _ Link = (*Conn)(nil)
+
+// Use says what a link is wanted for.
+type Use struct {
+	Upstream model.UpstreamID
+	// Checked asks for a sign of life of a connection that has long been idle.
+	Checked bool
+	// Until bounds the wait for a connection.
+	Until time.Time
+}
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -53,12 +54,24 @@
 	pools map[model.UpstreamID]*pool
 }
 
+// Limit bounds the connections to an upstream. The zero value sets no bound.
+type Limit struct {
+	// InUse is the number of connections in use at once; zero for no bound.
+	InUse int
+	// Temporary connections are closed after their use.
+	Temporary bool
+}
+
 // pool holds the connections to one upstream. It is guarded by Pools.mu.
 type pool struct {
 	upstream catalog.Upstream
 	// idle is ordered by use, the newest last.
-	idle []*Conn
-	open int
+	idle  []*Conn
+	open  int
+	limit Limit
+	inUse int
+	// waiting holds those that wait for one in use, the longest first.
+	waiting []chan struct{}
 }
 
 // New returns pools without connections.
@@ -70,8 +83,9 @@
 }
 
 // Set names the upstreams in use. Connections to others, and to earlier
-// processes of these, are closed when they are given back.
-func (p *Pools) Set(upstreams map[model.UpstreamID]catalog.Upstream) {
+// processes of these, are closed when they are given back. limits bounds the
+// connections in use of those that it names.
+func (p *Pools) Set(upstreams map[model.UpstreamID]catalog.Upstream, limits map[model.UpstreamID]Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, held := range p.pools {
@@ -83,29 +97,121 @@
 			p.closed(idle)
 		}
 		held.idle = nil
+		held.limit = Limit{}
+		held.wake()
 		delete(p.pools, id)
 	}
 	for id, upstream := range upstreams {
-		if _, exists := p.pools[id]; !exists {
-			p.pools[id] = &pool{upstream: upstream}
+		held := p.pools[id]
+		if held == nil {
+			held = &pool{upstream: upstream}
+			p.pools[id] = held
 		}
+		held.limit = limits[id]
+		p.trim(held)
+		held.wake()
+	}
+}
+
+// trim closes idle connections beyond the limit. p.mu is held.
+func (p *Pools) trim(held *pool) {
+	for len(held.idle) > 0 && held.isOverLimit() {
+		p.closed(held.idle[0])
+		held.open--
+		held.idle = held.idle[1:]
 	}
 }
 
+// isOverLimit reports whether an idle connection is one too many.
+func (h *pool) isOverLimit() bool {
+	return h.limit.Temporary || h.limit.InUse > 0 && h.open > h.limit.InUse
+}
+
+// wake lets those go on that wait and now find room. Pools.mu is held.
+func (h *pool) wake() {
+	for len(h.waiting) > 0 && h.hasRoom() {
+		h.inUse++
+		close(h.waiting[0])
+		h.waiting = h.waiting[1:]
+	}
+}
+
+func (h *pool) hasRoom() bool { return h.limit.InUse == 0 || h.inUse < h.limit.InUse }
+
+// free ends the use of a connection. Pools.mu is held.
+func (h *pool) free() {
+	h.inUse--
+	h.wake()
+}
+
 // Get returns a connection to the upstream, opening one if none is idle. opened
-// is true for a new one. checked asks for a sign of life of a connection that
-// has long been idle.
-func (p *Pools) Get(ctx context.Context, id model.UpstreamID, checked bool) (conn *Conn, opened bool, err error) {
+// is true for a new one. It waits while as many are in use as the limit allows,
+// and returns ErrNoRoom if that does not end in time.
+func (p *Pools) Get(ctx context.Context, use Use) (conn *Conn, opened bool, err error) {
+	held, err := p.enter(ctx, use)
+	if err != nil {
+		return nil, false, err
+	}
+	conn, opened, err = p.take(ctx, use, held)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		held.free()
+		return nil, false, err
+	}
+	conn.pool = held
+	return conn, opened, nil
+}
+
+// enter waits for room in the pool of the upstream.
+func (p *Pools) enter(ctx context.Context, use Use) (*pool, error) {
+	p.mu.Lock()
+	held := p.pools[use.Upstream]
+	if held == nil {
+		p.mu.Unlock()
+		return nil, errNoUpstream
+	}
+	if len(held.waiting) == 0 && held.hasRoom() {
+		held.inUse++
+		p.mu.Unlock()
+		return held, nil
+	}
+	turn := make(chan struct{})
+	held.waiting = append(held.waiting, turn)
+	p.mu.Unlock()
+	timer := time.NewTimer(time.Until(use.Until))
+	defer timer.Stop()
+	select {
+	case <-turn:
+		return held, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return held, p.stopWaiting(held, turn)
+}
+
+// stopWaiting gives up a wait, which may just have ended well: the error is nil
+// then.
+func (p *Pools) stopWaiting(held *pool, turn chan struct{}) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := slices.Index(held.waiting, turn)
+	if at < 0 {
+		return nil
+	}
+	held.waiting = slices.Delete(held.waiting, at, at+1)
+	return ErrNoRoom
+}
+
+// take takes an idle connection, or opens one.
+func (p *Pools) take(ctx context.Context, use Use, held *pool) (conn *Conn, opened bool, err error) {
 	for {
-		idle, upstream, err := p.takeIdle(id)
-		if err != nil {
-			return nil, false, err
-		}
+		idle := p.takeIdle(held)
 		if idle == nil {
-			conn, err := p.open(ctx, upstream)
+			conn, err := p.open(ctx, held)
 			return conn, true, err
 		}
-		if idle.isUsable() && (!checked || idle.isAlive()) {
+		if idle.isUsable() && (!use.Checked || idle.isAlive()) {
 			return idle, false, nil
 		}
 		p.drop(idle)
@@ -126,18 +232,15 @@
 // errNoUpstream means that the upstream is no longer in use.
 var errNoUpstream = errors.New("upstream is not in use")
 
-func (p *Pools) takeIdle(id model.UpstreamID) (*Conn, catalog.Upstream, error) {
+// takeIdle takes an idle connection, or counts one that is about to be opened.
+func (p *Pools) takeIdle(held *pool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held := p.pools[id]
-	if held == nil {
-		return nil, catalog.Upstream{}, errNoUpstream
-	}
 	if len(held.idle) == 0 {
 		held.open++
-		return nil, held.upstream, nil
+		return nil
 	}
-	return held.takeIdle(), held.upstream, nil
+	return held.takeIdle()
 }
 
 // lendIdle takes an idle connection to this process of the upstream; nil if
@@ -148,7 +251,7 @@
 		if conn == nil || conn.isUsable() {
 			return conn
 		}
-		p.drop(conn)
+		p.Put(conn, false)
 	}
 }
 
@@ -159,7 +262,10 @@
 	if held == nil || len(held.idle) == 0 || !held.upstream.SameProcess(upstream) {
 		return nil
 	}
-	return held.takeIdle()
+	held.inUse++
+	conn := held.takeIdle()
+	conn.pool = held
+	return conn
 }
 
 // takeIdle takes the connection that was used last. There must be one.
@@ -171,17 +277,15 @@
 }
 
 // open opens a connection that is already counted.
-func (p *Pools) open(ctx context.Context, upstream catalog.Upstream) (*Conn, error) {
-	conn, err := p.Dial(ctx, upstream)
+func (p *Pools) open(ctx context.Context, held *pool) (*Conn, error) {
+	conn, err := p.Dial(ctx, held.upstream)
 	if err == nil {
-		telemetry.UpstreamOpened.With(string(upstream.ID)).Inc()
+		telemetry.UpstreamOpened.With(string(held.upstream.ID)).Inc()
 		return conn, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if held := p.pools[upstream.ID]; held != nil && held.upstream.SameProcess(upstream) {
-		held.open--
-	}
+	held.open--
 	return nil, err
 }
 
@@ -227,10 +331,20 @@
 // Put gives a connection back. One that is broken, or that has left a
 // transaction open, is closed.
 func (p *Pools) Put(conn *Conn, reusable bool) {
+	held := conn.pool
+	conn.pool = nil
 	if !reusable || conn.broken {
 		p.drop(conn)
-		return
+	} else {
+		p.putIdle(conn)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held.free()
+}
+
+// putIdle keeps a connection for the next use, if its upstream is still used.
+func (p *Pools) putIdle(conn *Conn) {
 	conn.usedAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -240,6 +354,7 @@
 		return
 	}
 	held.idle = append(held.idle, conn)
+	p.trim(held)
 }
 
 func (p *Pools) drop(conn *Conn) {
@@ -268,4 +383,4 @@
 }
 
 // Close closes all idle connections.
-func (p *Pools) Close() { p.Set(nil) }
+func (p *Pools) Close() { p.Set(nil, nil) }
--- /dev/null
+++ b/pkg/transport/textback/textback_test.go
@@ -0,0 +1,123 @@
+package textback_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/region"
+	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/textback"
+	"gypsumdock/pkg/transport/textback/textbacktest"
+	"gypsumdock/platform"
+)
+
+func TestTextback(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "textback")
+}
+
+// longWait is a bound that only a hang exceeds.
+const longWait = 20 * time.Second
+
+func start(limit int64) *textbacktest.Database {
+	d, err := textbacktest.Start(limit)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	return d
+}
+
+func poolsOf(d *textbacktest.Database, limit textback.Limit) *textback.Pools {
+	pools := textback.New(platform.Wire{}, "test")
+	pools.Set(
+		map[model.UpstreamID]catalog.Upstream{"u": d.Upstream()},
+		map[model.UpstreamID]textback.Limit{"u": limit},
+	)
+	DeferCleanup(pools.Close)
+	return pools
+}
+
+func get(pools *textback.Pools, wait time.Duration) (*textback.Conn, error) {
+	conn, _, err := pools.Get(context.Background(), textback.Use{Upstream: "u", Until: time.Now().Add(wait)})
+	return conn, err
+}
+
+var _ = Describe("Prober", func() {
+	// 28 instances with a connection each filled an upstream that takes 28: it
+	// refused every question for its state, and no switch could end.
+	It("asks on an idle connection of an upstream that takes no more", func() {
+		d := start(1)
+		pools := poolsOf(d, textback.Limit{})
+		conn, err := get(pools, longWait)
+		Expect(err).NotTo(HaveOccurred())
+		prober := textback.NewProber(pools)
+		_, err = prober.Probe(context.Background(), d.Upstream())
+		Expect(err).To(MatchError(region.ErrBusy))
+		pools.Put(conn, true)
+		sample, err := prober.Probe(context.Background(), d.Upstream())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sample).To(Equal(region.Sample{Primary: true, Term: 1, Received: 7}))
+		Expect(d.Opened()).To(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("Pools with a limit", func() {
+	It("lets those that want a connection wait for one in use, in order", func() {
+		d := start(10)
+		pools := poolsOf(d, textback.Limit{InUse: 1})
+		first, err := get(pools, longWait)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = get(pools, time.Millisecond)
+		Expect(err).To(MatchError(textback.ErrNoRoom))
+		got := make(chan *textback.Conn)
+		go func() {
+			defer GinkgoRecover()
+			conn, err := get(pools, longWait)
+			Expect(err).NotTo(HaveOccurred())
+			got <- conn
+		}()
+		Consistently(got, "20ms").ShouldNot(Receive())
+		pools.Put(first, true)
+		Eventually(got, longWait).Should(Receive())
+		Expect(d.Opened()).To(BeEquivalentTo(1))
+	})
+
+	It("gives the place of a connection that cannot be opened to the next", func() {
+		d := start(0)
+		pools := poolsOf(d, textback.Limit{InUse: 1})
+		for range 3 {
+			_, err := get(pools, longWait)
+			Expect(textback.IsFull(err)).To(BeTrue())
+		}
+	})
+
+	It("keeps no temporary connection", func() {
+		d := start(10)
+		pools := poolsOf(d, textback.Limit{InUse: 1, Temporary: true})
+		conn, err := get(pools, longWait)
+		Expect(err).NotTo(HaveOccurred())
+		pools.Put(conn, true)
+		Eventually(d.Open, longWait).Should(BeZero())
+		Expect(pools.Open("u")).To(BeZero())
+	})
+
+	It("closes idle connections when the limit shrinks", func() {
+		d := start(10)
+		pools := poolsOf(d, textback.Limit{InUse: 2})
+		first, err := get(pools, longWait)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := get(pools, longWait)
+		Expect(err).NotTo(HaveOccurred())
+		pools.Put(first, true)
+		pools.Put(second, true)
+		pools.Set(
+			map[model.UpstreamID]catalog.Upstream{"u": d.Upstream()},
+			map[model.UpstreamID]textback.Limit{"u": {InUse: 1}},
+		)
+		Eventually(d.Open, longWait).Should(BeEquivalentTo(1))
+	})
+})
--- /dev/null
+++ b/pkg/transport/textback/textbacktest/database.go
@@ -0,0 +1,123 @@
+// Package textbacktest holds an upstream of the line protocol for tests.
+package textbacktest
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"gypsumdock/pkg/state/catalog"
+)
+
+// Database is an upstream that takes a number of connections at once, and
+// resets those beyond. It is safe for concurrent use.
+type Database struct {
+	listener net.Listener
+	limit    int64
+	open     atomic.Int64
+	opened   atomic.Int64
+
+	mu sync.Mutex
+	// answer returns the lines of an answer for a statement's text.
+	answer func(text string) []string
+	texts  []string
+}
+
+// Start starts a database that takes limit connections. Close ends it.
+func Start(limit int64) (*Database, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Database{listener: listener, limit: limit, answer: complete}
+	go d.accept()
+	return d, nil
+}
+
+func complete(text string) []string {
+	if text == "STATUS" {
+		return []string{"DATAROW primary 1 1.7 0 0 1 1", "COMPLETE -", "READY I 1.7"}
+	}
+	return []string{"COMPLETE s", "READY I 1.7"}
+}
+
+// Close ends the listener. Open connections go on.
+func (d *Database) Close() error { return d.listener.Close() }
+
+// SetAnswer replaces what statements are answered. Nil closes the connection
+// instead of an answer.
+func (d *Database) SetAnswer(answer func(text string) []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answer = answer
+}
+
+// Open returns the number of connections.
+func (d *Database) Open() int64 { return d.open.Load() }
+
+// Opened returns the number of connections that were ever taken.
+func (d *Database) Opened() int64 { return d.opened.Load() }
+
+// Texts returns the texts of all statements so far.
+func (d *Database) Texts() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.texts...)
+}
+
+// Upstream returns the database as the upstream "u" of the group "g".
+func (d *Database) Upstream() catalog.Upstream {
+	return catalog.Upstream{ID: "u", Group: "g", Address: d.listener.Addr().String(), Slots: 2}
+}
+
+func (d *Database) accept() {
+	for {
+		socket, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		if d.open.Add(1) > d.limit {
+			d.open.Add(-1)
+			_ = socket.(*net.TCPConn).SetLinger(0)
+			_ = socket.Close()
+			continue
+		}
+		d.opened.Add(1)
+		go d.serve(socket)
+	}
+}
+
+func (d *Database) serve(socket net.Conn) {
+	defer d.open.Add(-1)
+	defer func() { _ = socket.Close() }()
+	reader := bufio.NewReader(socket)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		answer := d.answerTo(strings.TrimSuffix(line, "\r\n"))
+		if answer == nil {
+			return
+		}
+		if _, err := socket.Write([]byte(strings.Join(answer, "\r\n") + "\r\n")); err != nil {
+			return
+		}
+	}
+}
+
+// answerTo answers a line: START, or QUERY with an ID and a text.
+func (d *Database) answerTo(line string) []string {
+	rest, isQuery := strings.CutPrefix(line, "QUERY ")
+	if !isQuery {
+		return []string{"READY I 1.7"}
+	}
+	_, text, _ := strings.Cut(rest, " ")
+	d.mu.Lock()
+	d.texts = append(d.texts, text)
+	answer := d.answer
+	d.mu.Unlock()
+	return answer(text)
+}
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -13,6 +13,7 @@
 
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/textback"
 )
@@ -22,11 +23,22 @@
 	Listener net.Listener
 	Codec    statement.CallerCodec
 	Dispatch *dispatcher.Dispatcher
-	Pools    *textback.Pools
+	Links    Links
 	Logger   *slog.Logger
 	Stop     StopTimes
 }
 
+// Links gives out connections to upstreams.
+type Links interface {
+	// Get returns a link to an upstream. opened is true for a new connection.
+	// After an error nothing was sent.
+	Get(ctx context.Context, use textback.Use) (link textback.Link, opened bool, err error)
+	// Put gives a link back; one that is not reusable is closed.
+	Put(link textback.Link, reusable bool)
+	// Open returns the number of this instance's connections to an upstream.
+	Open(id model.UpstreamID) int
+}
+
 // StopTimes are the times of a graceful stop, from its start.
 type StopTimes struct {
 	// CloseFrom is when idle sessions begin to be closed: by then callers are
--- a/pkg/transport/textfront/single.go
+++ b/pkg/transport/textfront/single.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/transport/textback"
 )
 
 // single is a statement outside a transaction.
@@ -58,12 +61,23 @@
 		deadline = u.patience()
 	}
 	answer, err := u.exchange(u.message(u.work, u.placement.Since), deadline)
+	if errors.Is(err, textback.ErrNotSent) {
+		return u.notSent(err)
+	}
 	if err != nil {
 		return u.lost(err)
 	}
 	return u.settle(answer, proven)
 }
 
+// notSent prepares another try of a statement that has not run.
+func (u *single) notSent(err error) bool {
+	u.session.server.record.retried(u.unit, u.work.request, err.Error())
+	u.avoid(statement.Other)
+	u.drop()
+	return false
+}
+
 // lost acts on a statement without an answer.
 func (u *single) lost(err error) bool {
 	if !u.work.writes {
--- a/pkg/transport/textfront/textfront_test.go
+++ b/pkg/transport/textfront/textfront_test.go
@@ -18,8 +18,10 @@
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/lending"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/textback"
+	"gypsumdock/pkg/transport/textlend"
 	"gypsumdock/platform"
 )
 
@@ -124,11 +126,18 @@
 	address  string
 }
 
+// useAll gives the pools all upstreams, without limits.
+func useAll(pools *textback.Pools) func(map[model.UpstreamID]catalog.Upstream, map[model.UpstreamID]lending.Plan) {
+	return func(upstreams map[model.UpstreamID]catalog.Upstream, _ map[model.UpstreamID]lending.Plan) {
+		pools.Set(upstreams, nil)
+	}
+}
+
 func newBench(route catalog.Route, upstreams ...*upstreamd) *bench {
 	now := clock{begun: time.Now()}
 	wire := platform.Wire{}
 	pools := textback.New(wire, "test")
-	b := &bench{dispatch: dispatcher.New(dispatcher.Config{Clock: now, UseUpstreams: pools.Set})}
+	b := &bench{dispatch: dispatcher.New(dispatcher.Config{Clock: now, UseUpstreams: useAll(pools)})}
 	route.Database, route.Group = name, group
 	if route.Timeout == 0 {
 		route.Timeout = 2 * time.Second
@@ -151,7 +160,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	b.address = listener.Addr().String()
 	server := New(Config{
-		Listener: listener, Codec: wire, Dispatch: b.dispatch, Pools: pools,
+		Listener: listener, Codec: wire, Dispatch: b.dispatch, Links: textlend.NewBorrower(pools, wire),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	go func() { _ = server.Serve() }()
--- a/pkg/transport/textfront/transaction.go
+++ b/pkg/transport/textfront/transaction.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/textback"
 )
 
 // transaction is a caller's transaction. It gets a connection with its first
@@ -214,6 +217,12 @@
 	s := tx.session
 	for {
 		answer, err := tx.exchange(tx.conn.Codec().AppendRequest(nil, request, model.Position{}), tx.deadline)
+		if errors.Is(err, textback.ErrNotSent) {
+			s.server.record.aborted(tx.unit, request, statement.FailAborted, err.Error())
+			tx.drop()
+			s.fail(request, statement.FailAborted, "connection lost before the commit")
+			return nil
+		}
 		if err != nil {
 			s.server.record.unknown(tx.unit, request, err.Error())
 			tx.drop()
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/protocol/statement"
@@ -46,7 +47,7 @@
 	impatient bool
 
 	placement *dispatch.Placement
-	conn      *textback.Conn
+	conn      textback.Link
 	// refusal is why the last acquire failed.
 	refusal *dispatch.Refusal
 }
@@ -65,7 +66,7 @@
 
 func (u *unit) dispatch() *dispatcher.Dispatcher { return u.session.server.config.Dispatch }
 
-func (u *unit) pools() *textback.Pools { return u.session.server.config.Pools }
+func (u *unit) links() Links { return u.session.server.config.Links }
 
 // arrive sets the times of the next statement.
 func (u *unit) arrive(arrived time.Duration) {
@@ -111,7 +112,9 @@
 
 // connect gets a connection for the placement.
 func (u *unit) connect(checked bool) bool {
-	conn, opened, err := u.pools().Get(u.session.server.ctx, u.placement.Upstream, checked)
+	conn, opened, err := u.links().Get(u.session.server.ctx, textback.Use{
+		Upstream: u.placement.Upstream, Checked: checked, Until: u.until(u.deadline),
+	})
 	if err != nil {
 		u.connectFailed(err)
 		return false
@@ -128,9 +131,12 @@
 }
 
 func (u *unit) connectFailed(err error) {
-	if textback.IsFull(err) {
-		u.dispatch().Full(u.route.Group, u.placement, u.pools().Open(u.placement.Upstream))
-	} else {
+	switch {
+	case textback.IsFull(err):
+		u.dispatch().Full(u.route.Group, u.placement, u.links().Open(u.placement.Upstream))
+	case errors.Is(err, textback.ErrNoRoom):
+		u.avoid(statement.Busy)
+	default:
 		u.dispatch().Unreachable(u.route.Group, u.placement)
 		u.ask.Failed = append(u.ask.Failed, u.placement.Upstream)
 	}
@@ -145,14 +151,14 @@
 
 // drop closes the connection and gives the place back.
 func (u *unit) drop() {
-	u.pools().Put(u.conn, false)
+	u.links().Put(u.conn, false)
 	u.conn = nil
 	u.release()
 }
 
 // finish gives connection and place back.
 func (u *unit) finish() {
-	u.pools().Put(u.conn, true)
+	u.links().Put(u.conn, true)
 	u.conn = nil
 	u.release()
 }
