Tell an upstream that resets everything from one that is full

Now a refused connection within a second of a lost statement, without an answer in between, counts as a failure, and so do the refused probes of such an upstream. The new specs fail without the change.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -195,6 +195,7 @@
 	defer known.mu.Unlock()
 	sign := known.sign
 	sign.Suspects = known.decides.Suspects(d.Now())
+	sign.Refusing = known.decides.Refusing()
 	return sign
 }
 
@@ -327,7 +328,7 @@
 
 // GivenUp records that an answer is no longer waited for.
 func (d *Dispatcher) GivenUp(id model.GroupID, placement *dispatch.Placement) {
-	d.with(id, func(_ time.Duration, g *group) { g.decides.GivenUp(placement) })
+	d.with(id, func(now time.Duration, g *group) { g.decides.GivenUp(now, placement) })
 }
 
 // Unreachable records a connection that could not be opened or has ended.
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -58,9 +58,13 @@
 // ErrBusy means that an upstream is there, but has no room to say more.
 var ErrBusy = errors.New("the upstream has no room")
 
+// ErrFull means that an upstream takes no further connection, or fails in the
+// same way.
+var ErrFull = errors.New("the upstream takes no further connection")
+
 // Upstreams asks upstreams for their state.
 type Upstreams interface {
-	// Probe returns ErrBusy from an upstream without room.
+	// Probe returns ErrBusy or ErrFull from an upstream without room.
 	Probe(ctx context.Context, upstream catalog.Upstream) (Sample, error)
 }
 
@@ -95,8 +99,10 @@
 	Generation model.Generation
 	SentAt     time.Duration
 	Number     model.LSN
-	// Suspects names the upstreams that do not answer.
+	// Suspects names the upstreams that do not answer, and Refusing those of
+	// them that refuse connections and are not only full.
 	Suspects []model.UpstreamID
+	Refusing []model.UpstreamID
 }
 
 // Traffic is the path of statements.
--- a/pkg/coordination/region/probes.go
+++ b/pkg/coordination/region/probes.go
@@ -88,7 +88,7 @@
 // probed takes the result of a probe. One that finds no room says only that
 // the upstream is there.
 func (l *Loop) probed(result failover.Probed, err error) {
-	busy := errors.Is(err, ErrBusy)
+	busy := errors.Is(err, ErrBusy) || errors.Is(err, ErrFull) && !l.isRefusing(result)
 	if result.Reachable || busy {
 		l.config.Traffic.ProbeAnswered(result.Group, result.Upstream)
 	}
@@ -97,6 +97,12 @@
 	}
 }
 
+// isRefusing reports whether the upstream that refused a probe is known not to
+// be only full.
+func (l *Loop) isRefusing(probed failover.Probed) bool {
+	return slices.Contains(l.config.Traffic.Signs(probed.Group).Refusing, probed.Upstream)
+}
+
 func (l *Loop) probe(upstream catalog.Upstream) (failover.Probed, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
--- a/pkg/state/dispatch/dispatch_test.go
+++ b/pkg/state/dispatch/dispatch_test.go
@@ -190,6 +190,34 @@
 	})
 })
 
+var _ = Describe("an upstream that refuses connections", func() {
+	// A primary that reset everything was taken for one that was full, for five
+	// seconds, and was never replaced.
+	It("is doubted if it has also lost a statement, until it answers", func() {
+		group := newGroup()
+		placement, _ := group.Submit(0, write(0))
+		group.Sent(0, placement)
+		group.GivenUp(millis(5), placement)
+		Expect(group.Refusing()).To(BeEmpty())
+		group.Full(millis(10), primary, 0)
+		Expect(group.Refusing()).To(ConsistOf(primary))
+		Expect(group.Suspects(millis(10))).To(ConsistOf(primary))
+		group.Reached(millis(50), primary)
+		Expect(group.Refusing()).To(BeEmpty())
+		Expect(group.Suspects(millis(50))).To(BeEmpty())
+	})
+
+	It("is not doubted if the loss was long ago", func() {
+		group := newGroup()
+		placement, _ := group.Submit(0, write(0))
+		group.Sent(0, placement)
+		group.GivenUp(millis(5), placement)
+		group.Full(millis(1500), primary, 0)
+		Expect(group.Refusing()).To(BeEmpty())
+		Expect(group.Suspects(millis(1500))).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a transaction", func() {
 	It("makes room for others while it waits for its caller", func() {
 		group := newGroup()
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -55,9 +55,10 @@
 }
 
 // GivenUp records that the answer to a statement is no longer waited for.
-func (g *Group) GivenUp(placement *Placement) {
+func (g *Group) GivenUp(now time.Duration, placement *Placement) {
 	if target := g.upstream(placement.Upstream); target != nil {
 		target.rest(placement)
+		target.lostAt = now
 		target.pending = max(0, target.pending-1)
 	}
 }
@@ -65,10 +66,7 @@
 // Unreachable records a connection that failed.
 func (g *Group) Unreachable(now time.Duration, id model.UpstreamID) {
 	if target := g.upstream(id); target != nil {
-		if !target.down {
-			target.down = true
-			target.downSince = now
-		}
+		target.fail(now)
 	}
 }
 
@@ -85,7 +83,27 @@
 	if target := g.upstream(id); target != nil {
 		target.full = open
 		target.fullUntil = now + fullFor
+		if target.lostAt != 0 && now-target.lostAt < refusedAfterLoss {
+			target.refusing = true
+			target.fail(now)
+		}
+	}
+}
+
+// refusedAfterLoss is the time after the loss of a statement in which a refused
+// connection counts as a failure of the upstream: one that resets everything
+// looks like one that is full.
+const refusedAfterLoss = time.Second
+
+// Refusing returns the upstreams that refuse connections and are not only full.
+func (g *Group) Refusing() []model.UpstreamID {
+	var refusing []model.UpstreamID
+	for _, candidate := range g.upstreams {
+		if candidate.refusing {
+			refusing = append(refusing, candidate.spec.ID)
+		}
 	}
+	return refusing
 }
 
 // fullFor is the time after which a connection is tried again at an upstream
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -65,6 +65,12 @@
 	// full is the limit that the upstream itself has shown, until fullUntil.
 	full      int
 	fullUntil time.Duration
+	// lostAt is when a statement last ended without an answer; zero once the
+	// upstream has answered since.
+	lostAt time.Duration
+	// refusing is set while it refuses connections although it also lost
+	// statements, so that it is not only full.
+	refusing bool
 }
 
 func newUpstream(spec Spec) *upstream {
@@ -120,6 +126,16 @@
 func (u *upstream) well(now time.Duration) {
 	u.silentSince = now
 	u.down = false
+	u.lostAt = 0
+	u.refusing = false
+}
+
+// fail records that the upstream takes no work.
+func (u *upstream) fail(now time.Duration) {
+	if !u.down {
+		u.down = true
+		u.downSince = now
+	}
 }
 
 // observe takes the latency of a statement, and that which is usual for its
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -294,6 +294,9 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	socket, err := p.dialer.DialContext(ctx, "tcp", upstream.Address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil, startFailed(err)
+	}
 	if err != nil {
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
--- a/pkg/transport/textback/prober.go
+++ b/pkg/transport/textback/prober.go
@@ -48,7 +48,7 @@
 	}
 	conn, err := p.pools.Dial(ctx, upstream)
 	if IsFull(err) {
-		return region.Sample{}, region.ErrBusy
+		return region.Sample{}, region.ErrFull
 	}
 	if err != nil {
 		return region.Sample{}, err
--- a/pkg/transport/textback/textback_test.go
+++ b/pkg/transport/textback/textback_test.go
@@ -56,7 +56,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		prober := textback.NewProber(pools)
 		_, err = prober.Probe(context.Background(), d.Upstream())
-		Expect(err).To(MatchError(region.ErrBusy))
+		Expect(err).To(MatchError(region.ErrFull))
 		pools.Put(conn, true)
 		sample, err := prober.Probe(context.Background(), d.Upstream())
 		Expect(err).NotTo(HaveOccurred())
