Doubt an upstream that breaks each connection; try a read again that an upstream failed

Four statements in a row that end with their connections now make a doubt that only an answer ends. A loan tells a broken connection from a late answer. Reads that an upstream fails were passed on as failed; they are tried twice more, elsewhere if their route allows. Writes are not. New specs fail without the change.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -201,7 +201,7 @@
 
 // ProbeAnswered says that an upstream has answered a probe.
 func (d *Dispatcher) ProbeAnswered(id model.GroupID, upstream model.UpstreamID) {
-	d.with(id, func(now time.Duration, g *group) { g.decides.Reached(now, upstream) })
+	d.with(id, func(now time.Duration, g *group) { g.decides.Probed(now, upstream) })
 }
 
 // WritesInFlight returns the number of units at the primary of the generation.
@@ -328,7 +328,12 @@
 
 // GivenUp records that an answer is no longer waited for.
 func (d *Dispatcher) GivenUp(id model.GroupID, placement *dispatch.Placement) {
-	d.with(id, func(now time.Duration, g *group) { g.decides.GivenUp(now, placement) })
+	d.with(id, func(_ time.Duration, g *group) { g.decides.GivenUp(placement) })
+}
+
+// Lost records a statement that ended with its connection.
+func (d *Dispatcher) Lost(id model.GroupID, placement *dispatch.Placement) {
+	d.with(id, func(now time.Duration, g *group) { g.decides.Lost(now, placement) })
 }
 
 // Unreachable records a connection that could not be opened or has ended.
--- a/pkg/state/dispatch/dispatch_test.go
+++ b/pkg/state/dispatch/dispatch_test.go
@@ -197,7 +197,7 @@
 		group := newGroup()
 		placement, _ := group.Submit(0, write(0))
 		group.Sent(0, placement)
-		group.GivenUp(millis(5), placement)
+		group.Lost(millis(5), placement)
 		Expect(group.Refusing()).To(BeEmpty())
 		group.Full(millis(10), primary, 0)
 		Expect(group.Refusing()).To(ConsistOf(primary))
@@ -207,11 +207,29 @@
 		Expect(group.Suspects(millis(50))).To(BeEmpty())
 	})
 
+	// A primary whose health check was good reset every statement of five
+	// seconds; the connections to it could always be opened.
+	It("is doubted if it takes connections and breaks each of them, until it answers", func() {
+		group := newGroup()
+		for i := range 4 {
+			Expect(group.Suspects(millis(10 * i))).To(BeEmpty())
+			placement, _ := group.Submit(millis(10*i), write(millis(10*i)))
+			group.Reached(millis(10*i), primary)
+			group.Sent(millis(10*i), placement)
+			group.Lost(millis(10*i+5), placement)
+			group.Release(millis(10*i+5), placement)
+		}
+		group.Reached(millis(60), primary)
+		Expect(group.Suspects(millis(60))).To(ConsistOf(primary))
+		group.Probed(millis(70), primary)
+		Expect(group.Suspects(millis(70))).To(BeEmpty())
+	})
+
 	It("is not doubted if the loss was long ago", func() {
 		group := newGroup()
 		placement, _ := group.Submit(0, write(0))
 		group.Sent(0, placement)
-		group.GivenUp(millis(5), placement)
+		group.Lost(millis(5), placement)
 		group.Full(millis(1500), primary, 0)
 		Expect(group.Refusing()).To(BeEmpty())
 		Expect(group.Suspects(millis(1500))).To(BeEmpty())
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -55,14 +55,21 @@
 }
 
 // GivenUp records that the answer to a statement is no longer waited for.
-func (g *Group) GivenUp(now time.Duration, placement *Placement) {
+func (g *Group) GivenUp(placement *Placement) {
 	if target := g.upstream(placement.Upstream); target != nil {
 		target.rest(placement)
-		target.lostAt = now
 		target.pending = max(0, target.pending-1)
 	}
 }
 
+// Lost records a statement that ended with its connection, without an answer.
+func (g *Group) Lost(now time.Duration, placement *Placement) {
+	g.GivenUp(placement)
+	if target := g.upstream(placement.Upstream); target != nil {
+		target.lost(now)
+	}
+}
+
 // Unreachable records a connection that failed.
 func (g *Group) Unreachable(now time.Duration, id model.UpstreamID) {
 	if target := g.upstream(id); target != nil {
@@ -72,6 +79,13 @@
 
 // Reached records a connection that was opened.
 func (g *Group) Reached(now time.Duration, id model.UpstreamID) {
+	if target := g.upstream(id); target != nil {
+		target.connected(now)
+	}
+}
+
+// Probed records the answer to a probe.
+func (g *Group) Probed(now time.Duration, id model.UpstreamID) {
 	if target := g.upstream(id); target != nil {
 		target.well(now)
 	}
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -19,6 +19,9 @@
 	// slownessForget is the time in which an old slowness loses half of its
 	// difference from 1.
 	slownessForget = 500 * time.Millisecond
+	// lossesInRow is the number of statements in a row that end with their
+	// connections after which an upstream is doubted.
+	lossesInRow = 4
 	// slownessMax bounds what one statement counts.
 	slownessMax = 20
 )
@@ -65,9 +68,10 @@
 	// full is the limit that the upstream itself has shown, until fullUntil.
 	full      int
 	fullUntil time.Duration
-	// lostAt is when a statement last ended without an answer; zero once the
-	// upstream has answered since.
+	// lostAt is when a statement last ended with its connection; zero once the
+	// upstream has answered since. losses counts those in a row.
 	lostAt time.Duration
+	losses int
 	// refusing is set while it refuses connections although it also lost
 	// statements, so that it is not only full.
 	refusing bool
@@ -127,9 +131,30 @@
 	u.silentSince = now
 	u.down = false
 	u.lostAt = 0
+	u.losses = 0
 	u.refusing = false
 }
 
+// connected records a new connection. It says little of an upstream that takes
+// connections and then breaks them.
+func (u *upstream) connected(now time.Duration) {
+	if u.losses >= lossesInRow {
+		return
+	}
+	u.silentSince = now
+	u.down = false
+	u.refusing = false
+}
+
+// lost records a statement that ended with its connection.
+func (u *upstream) lost(now time.Duration) {
+	u.lostAt = now
+	u.losses++
+	if u.losses >= lossesInRow {
+		u.fail(now)
+	}
+}
+
 // fail records that the upstream takes no work.
 func (u *upstream) fail(now time.Duration) {
 	if !u.down {
--- a/pkg/transport/textback/link.go
+++ b/pkg/transport/textback/link.go
@@ -1,6 +1,8 @@
 package textback
 
 import (
+	"net"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +17,12 @@
 // ErrNoRoom means that no connection became free in time.
 var ErrNoRoom = errors.New("no connection is free")
 
+// IsTimeout reports whether an exchange ended since no answer came in time.
+func IsTimeout(err error) bool {
+	var network net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) && network.Timeout()
+}
+
 // Link is a connection to an upstream for one unit of work. Conn is one of this
 // instance; package textlend has those of others. It belongs to one goroutine.
 type Link interface {
--- a/pkg/transport/textfront/single.go
+++ b/pkg/transport/textfront/single.go
@@ -14,6 +14,18 @@
 type single struct {
 	*unit
 	work work
+	// faults counts the tries that an upstream failed.
+	faults int
+}
+
+// maxFaults is the number of times that a read is tried elsewhere after an
+// upstream failed it. One that fails everywhere is the caller's.
+const maxFaults = 2
+
+// mayFailOver reports whether a read that an upstream failed is tried elsewhere.
+func (u *single) mayFailOver(reason statement.Reason) bool {
+	failed := reason == statement.Faulted || reason == statement.TimedOut
+	return failed && !u.work.writes && u.faults < maxFaults && !u.isLate()
 }
 
 // runSingle answers a statement outside a transaction. It is sent again only
@@ -105,6 +117,10 @@
 	case statement.Busy, statement.Lagging, statement.NotWritable, statement.NotPrepared:
 		return u.again(answer)
 	}
+	if u.mayFailOver(answer.Reason) {
+		u.faults++
+		return u.again(answer)
+	}
 	s := u.session
 	code := failureOf(answer.Reason, u.work.writes)
 	s.server.record.answered(u.unit, u.work.request, code, answer)
--- a/pkg/transport/textfront/textfront_test.go
+++ b/pkg/transport/textfront/textfront_test.go
@@ -276,6 +276,32 @@
 		Expect(other.texts()).NotTo(BeEmpty())
 	})
 
+	// An upstream that fails part of its statements while its health check is
+	// good made its share of all reads fail.
+	It("that reads is tried again if an upstream fails it, a few times", func() {
+		u := startUpstream()
+		tries := 0
+		u.set(func(string) []string {
+			tries++
+			if tries < 3 {
+				return []string{"ERROR FAILED broken"}
+			}
+			return []string{"DATAROW v", "COMPLETE sig"}
+		})
+		c := newBench(catalog.Route{}, u).dial()
+		Expect(c.do("READ a")).To(Equal("DATAROW v|COMPLETE sig|READY I -"))
+		u.set(func(string) []string { return []string{"ERROR FAILED broken"} })
+		Expect(c.do("READ a")).To(HavePrefix("ERROR FAILED"))
+		Expect(u.texts()).To(HaveLen(6))
+	})
+
+	It("that writes is not sent again if the upstream fails it", func() {
+		u := startUpstream()
+		u.set(func(string) []string { return []string{"ERROR FAILED broken"} })
+		Expect(newBench(catalog.Route{}, u).dial().do("WRITE a 1")).To(HavePrefix("ERROR FAILED"))
+		Expect(u.texts()).To(HaveLen(1))
+	})
+
 	It("that cannot be served is refused at once with a time to come back", func() {
 		b := newBench(catalog.Route{}, startUpstream())
 		sealed := *b.snapshot
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -168,6 +168,10 @@
 	sentAt := u.dispatch().Now()
 	u.dispatch().Sent(u.route.Group, u.placement)
 	answer, err := u.conn.Exchange(data, u.until(deadline))
+	if err != nil && !textback.IsTimeout(err) && !errors.Is(err, textback.ErrNotSent) {
+		u.dispatch().Lost(u.route.Group, u.placement)
+		return nil, err
+	}
 	if err != nil {
 		u.dispatch().GivenUp(u.route.Group, u.placement)
 		return nil, err
--- a/pkg/transport/textlend/lender.go
+++ b/pkg/transport/textlend/lender.go
@@ -202,6 +202,9 @@
 		return &meshpb.LoanAnswer{Failure: meshpb.LoanFailure_LOAN_FAILURE_NOT_SENT}
 	}
 	answer, err := l.conn.Exchange(request.GetStatement(), deadline)
+	if textback.IsTimeout(err) {
+		return &meshpb.LoanAnswer{Failure: meshpb.LoanFailure_LOAN_FAILURE_TIMED_OUT}
+	}
 	if err != nil {
 		return &meshpb.LoanAnswer{Failure: meshpb.LoanFailure_LOAN_FAILURE_LOST}
 	}
--- a/pkg/transport/textlend/remote.go
+++ b/pkg/transport/textlend/remote.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"maps"
 	"net"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -71,6 +72,8 @@
 		return decodeAnswer(answer), nil
 	case meshpb.LoanFailure_LOAN_FAILURE_NOT_SENT:
 		return nil, textback.ErrNotSent
+	case meshpb.LoanFailure_LOAN_FAILURE_TIMED_OUT:
+		return nil, errors.Wrap(os.ErrDeadlineExceeded, "upstream of the holder")
 	default:
 		return nil, textback.ErrBroken
 	}
@@ -78,8 +81,7 @@
 
 // lost notes a holder whose stream has ended. Silence may be the upstream's.
 func (r *remote) lost(err error) error {
-	var network net.Error
-	if !errors.As(err, &network) || !network.Timeout() {
+	if !textback.IsTimeout(err) {
 		r.borrower.avoid(way{holder: r.way.holder})
 	}
 	return errors.Wrap(err, "statement at the holder")
--- a/testbench/hosted/conn.go
+++ b/testbench/hosted/conn.go
@@ -187,6 +187,11 @@
 		return
 	}
 	d := c.database
+	if d.term < d.group.term {
+		for _, w := range c.writes {
+			d.group.deposed[w.data] = true
+		}
+	}
 	d.log = append(d.log, entry{term: d.term, writes: c.writes})
 	d.arrived = append(d.arrived, time.Now())
 	d.applied = len(d.log)
--- a/testbench/hosted/database.go
+++ b/testbench/hosted/database.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"gypsumdock/testbench/faultproxy"
 )
 
 // Database is a database of a group. Its fields are guarded by the group's
@@ -17,6 +19,8 @@
 	zone     string
 	address  string
 	listener net.Listener
+	// wire carries the instances' connections; it stays through restarts.
+	wire     *faultproxy.Proxy
 	running  bool
 	primary  bool
 	term     uint32
@@ -50,6 +54,12 @@
 	d.group.mu.Lock()
 	d.listener = listener
 	d.address = listener.Addr().String()
+	if d.wire == nil {
+		if d.wire, err = faultproxy.Start("127.0.0.1:0", d.address); err != nil {
+			d.group.mu.Unlock()
+			return err
+		}
+	}
 	d.running = true
 	d.born = time.Now().UnixMilli()
 	if d.primary && d.term < d.group.term {
@@ -77,6 +87,9 @@
 	}
 }
 
+// Wire is the proxy through which instances reach the database.
+func (d *Database) Wire() *faultproxy.Proxy { return d.wire }
+
 // SetDraining makes the database report that it is about to leave.
 func (d *Database) SetDraining(draining bool) { d.set(func() { d.draining = draining }) }
 
@@ -99,6 +112,7 @@
 		common++
 	}
 	if common < len(d.log) {
+		d.group.noteRolledBack(d.log[common:])
 		d.log = d.log[:common]
 		d.arrived = d.arrived[:common]
 		d.applied = min(d.applied, common)
--- a/testbench/hosted/group.go
+++ b/testbench/hosted/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -44,6 +45,10 @@
 	// Violations holds what must never be seen.
 	violations []string
 	promotions int
+	// rolledBack and deposed hold the data of writes that a promotion took
+	// back, and of those committed beside the primary of a newer term.
+	rolledBack map[string]bool
+	deposed    map[string]bool
 }
 
 // GroupOptions describe a group.
@@ -62,6 +67,7 @@
 	g := &Group{
 		Name: options.Name, store: store, maxConnections: options.MaxConnections, slots: options.Slots,
 		promoteTime: options.PromoteTime, lag: options.Lag, stop: make(chan struct{}), term: 1,
+		rolledBack: map[string]bool{}, deposed: map[string]bool{},
 	}
 	g.cloud = httptest.NewServer(http.HandlerFunc(g.promote))
 	for i := range options.Databases {
@@ -116,12 +122,66 @@
 	return g.promotions
 }
 
+// noteRolledBack records writes that a promotion took back. g.mu is held.
+func (g *Group) noteRolledBack(lost []entry) {
+	for _, e := range lost {
+		for _, w := range e.writes {
+			g.rolledBack[w.data] = true
+		}
+	}
+}
+
+// Outcome is what has become of the writes of a group.
+type Outcome struct {
+	// Kept holds how often each write's data is in the primary's log.
+	Kept map[string]int
+	// RolledBack holds the data that a promotion took back, and Deposed that
+	// of commits beside the primary of a newer term.
+	RolledBack, Deposed map[string]bool
+}
+
+// Outcome returns what has become of the writes so far; Kept is nil without a
+// primary.
+func (g *Group) Outcome() Outcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	found := Outcome{RolledBack: maps.Clone(g.rolledBack), Deposed: maps.Clone(g.deposed)}
+	leader := g.primary()
+	if leader == nil {
+		return found
+	}
+	found.Kept = map[string]int{}
+	for _, e := range leader.log {
+		for _, w := range e.writes {
+			found.Kept[w.data]++
+		}
+	}
+	return found
+}
+
+// IsSettled reports whether all databases run and follow the primary.
+func (g *Group) IsSettled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leader := g.primary()
+	if leader == nil {
+		return false
+	}
+	for _, d := range g.databases {
+		if !d.running || d.term != leader.term || len(d.log) != len(leader.log) {
+			return false
+		}
+	}
+	return true
+}
+
 // Close ends all databases.
 func (g *Group) Close() {
 	close(g.stop)
 	g.cloud.Close()
 	for _, d := range g.Databases() {
 		d.Crash()
+		_ = d.wire.Close()
 	}
 	g.tasks.Wait()
 }
@@ -274,7 +334,7 @@
 		role = "primary"
 	}
 	body, _ := json.Marshal(map[string]any{
-		"service": g.Name, "address": d.address, "zone": d.zone, "version": "v1", "slots": g.slots,
+		"service": g.Name, "address": d.wire.Address(), "zone": d.zone, "version": "v1", "slots": g.slots,
 		"state": state, "cold_remaining_ms": 0, "database_role": role, "born": d.born,
 	})
 	if d.announced != string(body) {
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -251,6 +251,23 @@
 // Signal sends a signal to the instance's process.
 func (i *Instance) Signal(signal syscall.Signal) error { return i.process.Signal(signal) }
 
+// CopyLogs copies the logs of all instances into a directory, which it makes.
+func (s *System) CopyLogs(into string) error {
+	if err := os.MkdirAll(into, 0o755); err != nil {
+		return err
+	}
+	for _, i := range s.Instances {
+		data, err := os.ReadFile(i.LogPath())
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(into, filepath.Base(i.LogPath())), data, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends everything.
 func (s *System) Close() error {
 	for _, i := range s.Instances {
