Answer before the end of a stop; doubt what refuses all connections for longer than lost ones count

An idle connection found closed, or 3.5 s of refused probes (lost connections count for 3 s), now make it a failure. The stand-in's proxy took connections of a crashed database and closed them; it refuses them now, as a host without a listener does.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -346,9 +346,9 @@
 	d.with(id, func(now time.Duration, g *group) { g.decides.Reached(now, placement.Upstream) })
 }
 
-// Full records that an upstream refused a connection beside the open ones.
-func (d *Dispatcher) Full(id model.GroupID, placement *dispatch.Placement, open int) {
-	d.with(id, func(now time.Duration, g *group) { g.decides.Full(now, placement.Upstream, open) })
+// Full records that an upstream refused a connection.
+func (d *Dispatcher) Full(id model.GroupID, placement *dispatch.Placement, refused dispatch.Refused) {
+	d.with(id, func(now time.Duration, g *group) { g.decides.Full(now, placement.Upstream, refused) })
 }
 
 // Patience returns the time after which an answer to a route's statements is
--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -82,6 +82,8 @@
 	// which follows the tables.
 	goodReplyAt   time.Duration
 	failedReaders map[model.InstanceID]time.Duration
+	// refusedSince holds since when upstreams have refused every probe.
+	refusedSince map[model.UpstreamID]time.Duration
 }
 
 // New returns a loop that has not started.
@@ -103,6 +105,7 @@
 		promoting: make(map[model.GroupID]bool),
 
 		failedReaders: make(map[model.InstanceID]time.Duration),
+		refusedSince:  make(map[model.UpstreamID]time.Duration),
 	}
 	l.headRead = share.New(l.spacedHeadRead)
 	l.following.Store(true)
--- a/pkg/coordination/region/probes.go
+++ b/pkg/coordination/region/probes.go
@@ -89,6 +89,9 @@
 // the upstream is there.
 func (l *Loop) probed(result failover.Probed, err error) {
 	busy := errors.Is(err, ErrBusy) || errors.Is(err, ErrFull) && !l.isRefusing(result)
+	if !errors.Is(err, ErrFull) {
+		delete(l.refusedSince, result.Upstream)
+	}
 	if result.Reachable || busy {
 		l.config.Traffic.ProbeAnswered(result.Group, result.Upstream)
 	}
@@ -97,9 +100,21 @@
 	}
 }
 
-// isRefusing reports whether the upstream that refused a probe is known not to
-// be only full.
+// refusedTooLong is the time of refused probes after which an upstream is not
+// only full: it drops the connections of lost instances after 3 s.
+const refusedTooLong = 3500 * time.Millisecond
+
+// isRefusing reports whether the upstream that refused a probe is not only full:
+// it resets what it has taken, or it has been refusing for too long.
 func (l *Loop) isRefusing(probed failover.Probed) bool {
+	since, before := l.refusedSince[probed.Upstream]
+	if !before {
+		since = l.now()
+		l.refusedSince[probed.Upstream] = since
+	}
+	if l.now()-since >= refusedTooLong {
+		return true
+	}
 	return slices.Contains(l.config.Traffic.Signs(probed.Group).Refusing, probed.Upstream)
 }
 
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -83,6 +83,9 @@
 	// ownWhileBorrowing is the number of connections to an upstream that an
 	// instance opens for itself while no holder answers it.
 	ownWhileBorrowing = 1
+	// answerMargin is the time between the last answer of a stop and the end of
+	// the sessions.
+	answerMargin = 200 * time.Millisecond
 	// memoryShare is the part of the memory limit at which the garbage
 	// collector works harder.
 	memoryShare = 0.6
@@ -238,6 +241,7 @@
 	return textfront.StopTimes{
 		CloseFrom:       min(leaveTime, closeBy),
 		CloseBy:         closeBy,
+		AnswerBy:        h.grace() - closeMargin - answerMargin,
 		EndTransactions: h.grace() * 3 / 5,
 	}
 }
--- a/pkg/state/dispatch/dispatch_test.go
+++ b/pkg/state/dispatch/dispatch_test.go
@@ -180,7 +180,7 @@
 	// database for three seconds, so that it takes no new ones.
 	It("is not doubted while it is full", func() {
 		group := newGroup()
-		group.Full(0, primary, 0)
+		group.Full(0, primary, dispatch.Refused{})
 		Expect(group.Suspects(millis(50))).To(BeEmpty())
 		placement, refusal := group.Submit(millis(10), write(millis(10)))
 		Expect(placement).To(BeNil())
@@ -199,7 +199,7 @@
 		group.Sent(0, placement)
 		group.Lost(millis(5), placement)
 		Expect(group.Refusing()).To(BeEmpty())
-		group.Full(millis(10), primary, 0)
+		group.Full(millis(10), primary, dispatch.Refused{})
 		Expect(group.Refusing()).To(ConsistOf(primary))
 		Expect(group.Suspects(millis(10))).To(ConsistOf(primary))
 		group.Reached(millis(50), primary)
@@ -225,12 +225,37 @@
 		Expect(group.Suspects(millis(70))).To(BeEmpty())
 	})
 
+	It("is doubted if it has ended an idle connection just before", func() {
+		group := newGroup()
+		group.Full(millis(10), primary, dispatch.Refused{AfterLoss: true})
+		Expect(group.Suspects(millis(10))).To(ConsistOf(primary))
+	})
+
+	// Idle connections were found closed, and new ones reset for good.
+	It("is doubted once it has refused all for longer than lost connections count", func() {
+		group := newGroup()
+		for at := 10; at < 4000; at += 100 {
+			group.Full(millis(at), primary, dispatch.Refused{})
+			Expect(group.Suspects(millis(at))).To(BeEmpty())
+		}
+		group.Full(millis(4010), primary, dispatch.Refused{})
+		Expect(group.Refusing()).To(ConsistOf(primary))
+	})
+
+	It("is not doubted while this instance has connections", func() {
+		group := newGroup()
+		for at := 10; at < 9000; at += 100 {
+			group.Full(millis(at), primary, dispatch.Refused{Open: 1})
+		}
+		Expect(group.Suspects(millis(9000))).To(BeEmpty())
+	})
+
 	It("is not doubted if the loss was long ago", func() {
 		group := newGroup()
 		placement, _ := group.Submit(0, write(0))
 		group.Sent(0, placement)
 		group.Lost(millis(5), placement)
-		group.Full(millis(1500), primary, 0)
+		group.Full(millis(1500), primary, dispatch.Refused{})
 		Expect(group.Refusing()).To(BeEmpty())
 		Expect(group.Suspects(millis(1500))).To(BeEmpty())
 	})
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -91,23 +91,36 @@
 	}
 }
 
-// Full records that an upstream refused a further connection while this
-// instance had the given number.
-func (g *Group) Full(now time.Duration, id model.UpstreamID, open int) {
-	if target := g.upstream(id); target != nil {
-		target.full = open
-		target.fullUntil = now + fullFor
-		if target.lostAt != 0 && now-target.lostAt < refusedAfterLoss {
-			target.refusing = true
-			target.fail(now)
-		}
-	}
+// Refused is a connection that an upstream refused.
+type Refused struct {
+	// Open is the number of connections that this instance has to it.
+	Open int
+	// AfterLoss is set if the upstream has ended another one just before.
+	AfterLoss bool
 }
 
-// refusedAfterLoss is the time after the loss of a statement in which a refused
-// connection counts as a failure of the upstream: one that resets everything
-// looks like one that is full.
-const refusedAfterLoss = time.Second
+// Full records that an upstream refused a further connection. It is taken as
+// full, and as failing if that cannot be all.
+func (g *Group) Full(now time.Duration, id model.UpstreamID, refused Refused) {
+	target := g.upstream(id)
+	if target == nil {
+		return
+	}
+	target.full = refused.Open
+	target.fullUntil = now + fullFor
+	if refused.AfterLoss {
+		target.lostAt = now
+	}
+	if refused.Open > 0 {
+		target.refusedSince = 0
+	} else if target.refusedSince == 0 {
+		target.refusedSince = max(now, 1)
+	}
+	if target.isFailing(now) {
+		target.refusing = true
+		target.fail(now)
+	}
+}
 
 // Refusing returns the upstreams that refuse connections and are not only full.
 func (g *Group) Refusing() []model.UpstreamID {
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -22,6 +22,12 @@
 	// lossesInRow is the number of statements in a row that end with their
 	// connections after which an upstream is doubted.
 	lossesInRow = 4
+	// refusedAfterLoss is the time after the loss of a connection in which a
+	// refused one counts as a failure.
+	refusedAfterLoss = time.Second
+	// refusedTooLong is the time without any connection after which refused ones
+	// do. Upstreams drop the connections of lost instances after 3 s.
+	refusedTooLong = 4 * time.Second
 	// slownessMax bounds what one statement counts.
 	slownessMax = 20
 )
@@ -72,6 +78,9 @@
 	// upstream has answered since. losses counts those in a row.
 	lostAt time.Duration
 	losses int
+	// refusedSince is when it first refused a connection while this instance had
+	// none; zero once it has taken one.
+	refusedSince time.Duration
 	// refusing is set while it refuses connections although it also lost
 	// statements, so that it is not only full.
 	refusing bool
@@ -132,6 +141,7 @@
 	u.down = false
 	u.lostAt = 0
 	u.losses = 0
+	u.refusedSince = 0
 	u.refusing = false
 }
 
@@ -143,9 +153,18 @@
 	}
 	u.silentSince = now
 	u.down = false
+	u.refusedSince = 0
 	u.refusing = false
 }
 
+// isFailing reports whether an upstream that refuses connections is not only
+// full: one that resets everything looks the same.
+func (u *upstream) isFailing(now time.Duration) bool {
+	afterLoss := u.lostAt != 0 && now-u.lostAt < refusedAfterLoss
+	tooLong := u.refusedSince != 0 && now-u.refusedSince >= refusedTooLong
+	return afterLoss || tooLong
+}
+
 // lost records a statement that ended with its connection.
 func (u *upstream) lost(now time.Duration) {
 	u.lostAt = now
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -36,7 +36,11 @@
 )
 
 // ErrRefused means that the upstream refused the connection.
-type ErrRefused struct{ Reason statement.Reason }
+type ErrRefused struct {
+	Reason statement.Reason
+	// AfterLoss is set if the upstream had ended an idle connection before.
+	AfterLoss bool
+}
 
 // Error names the reason.
 func (e *ErrRefused) Error() string {
@@ -205,17 +209,24 @@
 
 // take takes an idle connection, or opens one.
 func (p *Pools) take(ctx context.Context, use Use, held *pool) (conn *Conn, opened bool, err error) {
+	lost := false
 	for {
 		idle := p.takeIdle(held)
 		if idle == nil {
-			conn, err := p.open(ctx, held)
-			return conn, true, err
+			break
 		}
 		if idle.isUsable() && (!use.Checked || idle.isAlive()) {
 			return idle, false, nil
 		}
+		lost = true
 		p.drop(idle)
 	}
+	conn, err = p.open(ctx, held)
+	var refused *ErrRefused
+	if errors.As(err, &refused) {
+		err = &ErrRefused{Reason: refused.Reason, AfterLoss: lost}
+	}
+	return conn, true, err
 }
 
 // isAlive reports whether the upstream still answers on the connection.
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -46,6 +46,8 @@
 	CloseFrom time.Duration
 	// CloseBy is when the last idle session is closed.
 	CloseBy time.Duration
+	// AnswerBy is when the last statement has its answer; zero for no bound.
+	AnswerBy time.Duration
 	// EndTransactions is when open transactions are rolled back.
 	EndTransactions time.Duration
 }
@@ -207,6 +209,20 @@
 	return present.begun.Add(s.config.Stop.EndTransactions), true
 }
 
+// answerBy bounds the deadline of a statement by the end of a stop, so that it is
+// answered before its session is cut.
+func (s *Server) answerBy(deadline time.Time) time.Time {
+	present := s.departure.Load()
+	if present == nil || !present.final || s.config.Stop.AnswerBy == 0 {
+		return deadline
+	}
+	end := present.begun.Add(s.config.Stop.AnswerBy)
+	if end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
+
 // isClosing reports whether sessions are closed as soon as they are idle.
 func (s *Server) isClosing() bool {
 	present := s.departure.Load()
--- a/pkg/transport/textfront/textfront_test.go
+++ b/pkg/transport/textfront/textfront_test.go
@@ -121,6 +121,7 @@
 
 // bench is a server before upstreams that the test plays.
 type bench struct {
+	server   *Server
 	dispatch *dispatcher.Dispatcher
 	snapshot *region.Snapshot
 	address  string
@@ -165,6 +166,7 @@
 	})
 	go func() { _ = server.Serve() }()
 	DeferCleanup(listener.Close)
+	b.server = server
 	return b
 }
 
@@ -225,6 +227,19 @@
 		Expect(u.texts()).To(HaveLen(1))
 	})
 
+	// A soak (seed 4) found a statement that was sent late in a stop: its session
+	// was cut before its timeout.
+	It("is answered before the end of a stop, although its timeout is later", func() {
+		u := startUpstream()
+		u.set(func(string) []string { return []string{} })
+		b := newBench(catalog.Route{Timeout: time.Hour}, u)
+		c := b.dial()
+		b.server.config.Stop.AnswerBy = 50 * time.Millisecond
+		b.server.departure.Store(&departure{begun: time.Now(), final: true})
+		Expect(c.do("WRITE a 1")).To(HavePrefix("ERROR INDOUBT"))
+		Expect(b.dial().do("WRITE a 1")).To(HavePrefix("ERROR BUSY"))
+	})
+
 	It("that writes is sent again if the upstream says that it did not run", func() {
 		u := startUpstream()
 		tries := 0
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -74,6 +74,8 @@
 	if timeout == 0 {
 		timeout = catalog.DefaultTimeout
 	}
+	wanted := u.until(arrived + timeout)
+	timeout -= wanted.Sub(u.session.server.answerBy(wanted))
 	u.ask.Arrived = arrived
 	u.ask.Deadline = arrived + timeout
 	u.deadline = u.ask.Deadline
@@ -133,7 +135,7 @@
 func (u *unit) connectFailed(err error) {
 	switch {
 	case textback.IsFull(err):
-		u.dispatch().Full(u.route.Group, u.placement, u.links().Open(u.placement.Upstream))
+		u.refusedConnection(err)
 	case errors.Is(err, textback.ErrNoRoom):
 		u.avoid(statement.Busy)
 	default:
@@ -143,6 +145,15 @@
 	u.release()
 }
 
+// refusedConnection records an upstream that takes no further connection.
+func (u *unit) refusedConnection(err error) {
+	var refused *textback.ErrRefused
+	afterLoss := errors.As(err, &refused) && refused.AfterLoss
+	u.dispatch().Full(u.route.Group, u.placement, dispatch.Refused{
+		Open: u.links().Open(u.placement.Upstream), AfterLoss: afterLoss,
+	})
+}
+
 // release gives the place back.
 func (u *unit) release() {
 	u.dispatch().Release(u.route.Group, u.placement)
--- a/testbench/hosted/database.go
+++ b/testbench/hosted/database.go
@@ -19,7 +19,7 @@
 	zone     string
 	address  string
 	listener net.Listener
-	// wire carries the instances' connections; it stays through restarts.
+	// wire carries the instances' connections; it is replaced at a restart.
 	wire     *faultproxy.Proxy
 	running  bool
 	primary  bool
@@ -54,11 +54,9 @@
 	d.group.mu.Lock()
 	d.listener = listener
 	d.address = listener.Addr().String()
-	if d.wire == nil {
-		if d.wire, err = faultproxy.Start("127.0.0.1:0", d.address); err != nil {
-			d.group.mu.Unlock()
-			return err
-		}
+	if err := d.connectWire(); err != nil {
+		d.group.mu.Unlock()
+		return err
 	}
 	d.running = true
 	d.born = time.Now().UnixMilli()
@@ -70,12 +68,27 @@
 	return nil
 }
 
+// connectWire starts the proxy, at the address that it had. The group's mutex is
+// held.
+func (d *Database) connectWire() error {
+	address := "127.0.0.1:0"
+	if d.wire != nil {
+		address = d.wire.Address()
+	}
+	wire, err := faultproxy.Start(address, d.address)
+	if err == nil {
+		d.wire = wire
+	}
+	return err
+}
+
 // Crash ends the database and its connections. Its log stays.
 func (d *Database) Crash() {
 	d.group.mu.Lock()
 	if d.running {
 		d.running = false
 		_ = d.listener.Close()
+		_ = d.wire.Close()
 	}
 	open := make([]*conn, 0, len(d.conns))
 	for c := range d.conns {
@@ -88,7 +101,10 @@
 }
 
 // Wire is the proxy through which instances reach the database.
-func (d *Database) Wire() *faultproxy.Proxy { return d.wire }
+func (d *Database) Wire() (wire *faultproxy.Proxy) {
+	d.set(func() { wire = d.wire })
+	return wire
+}
 
 // SetDraining makes the database report that it is about to leave.
 func (d *Database) SetDraining(draining bool) { d.set(func() { d.draining = draining }) }
--- a/testbench/hosted/group.go
+++ b/testbench/hosted/group.go
@@ -181,7 +181,6 @@
 	g.cloud.Close()
 	for _, d := range g.Databases() {
 		d.Crash()
-		_ = d.wire.Close()
 	}
 	g.tasks.Wait()
 }
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -105,6 +105,18 @@
 		Expect(system.Group.Violations()).To(BeEmpty())
 	})
 
+	// What resets each connection looks like what is full.
+	It("replaces a primary that resets each connection", func() {
+		system := start()
+		client := dial(system, 2, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		before := system.Group.Primary()
+		before.Wire().Reset()
+		must(client, "WRITE a 2")
+		Expect(system.Group.Primary().ID).NotTo(Equal(before.ID))
+		before.Wire().Heal()
+	})
+
 	It("moves away from a primary that drains, and loses nothing", func() {
 		system := start()
 		client := dial(system, 0, hosted.DatabaseLatest)
