--- a/pkg/transport/textfront/textfront_test.go
+++ b/pkg/transport/textfront/textfront_test.go
@@ -234,10 +234,10 @@
 		u.set(func(string) []string { return []string{} })
 		b := newBench(catalog.Route{Timeout: time.Hour}, u)
 		c := b.dial()
-		b.server.config.Stop.AnswerBy = 50 * time.Millisecond
+		b.server.config.Stop = StopTimes{CloseFrom: time.Hour, CloseBy: time.Hour, AnswerBy: 50 * time.Millisecond}
 		b.server.departure.Store(&departure{begun: time.Now(), final: true})
 		Expect(c.do("WRITE a 1")).To(HavePrefix("ERROR INDOUBT"))
-		Expect(b.dial().do("WRITE a 1")).To(HavePrefix("ERROR BUSY"))
+		Expect(c.do("WRITE a 1")).To(HavePrefix("ERROR BUSY"))
 	})
 
 	It("that writes is sent again if the upstream says that it did not run", func() {
