Probe a group with few instances; keep the connection of a probe

Cause: an instance that had known no primary for 4 s probed all upstreams, and so did, after a doubt, one more instance each 500 ms from the start of the process on, each with a new connection that takes a slot for 12 ms. Now the number of probing instances grows slowly, many space their probes, and a probe's connection is kept where connections are held.

--- a/pkg/coordination/region/export_test.go
+++ b/pkg/coordination/region/export_test.go
@@ -35,3 +35,12 @@
 
 // Present is present.
 func (r Registry) Present() []catalog.Upstream { return r.inner.present() }
+
+// SeeksPrimary is seeksPrimary.
+var SeeksPrimary = seeksPrimary
+
+// ProbersAfter and SpacedInterval are probersAfter and spacedInterval.
+var (
+	ProbersAfter   = probersAfter
+	SpacedInterval = spacedInterval
+)
--- a/pkg/coordination/region/loop_test.go
+++ b/pkg/coordination/region/loop_test.go
@@ -206,3 +206,40 @@
 		Expect(again.Upstreams).To(BeNil())
 	})
 })
+
+var _ = Describe("a group without a known primary", func() {
+	// All instances probed all upstreams after four seconds, which kept the
+	// upstreams busy with connections so that none could say that it leads.
+	It("is probed by the reader alone first, and by one more instance after each pause", func() {
+		probing := func(unled time.Duration) int {
+			count := 0
+			for rank := range 300 {
+				if region.SeeksPrimary(rank, unled) {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(probing(time.Second)).To(BeZero())
+		Expect(probing(2 * time.Second)).To(Equal(1))
+		Expect(probing(5 * time.Second)).To(Equal(2))
+		Expect(probing(20 * time.Second)).To(Equal(10))
+	})
+})
+
+var _ = Describe("a group whose primary may be replaced", func() {
+	// With 31 instances a doubt brought 5,000 connections a second, which kept
+	// all upstreams busy, so that the doubt did not end.
+	It("is probed by a number of instances that grows slowly", func() {
+		Expect(region.ProbersAfter(0)).To(Equal(2))
+		Expect(region.ProbersAfter(time.Second)).To(Equal(4))
+		Expect(region.ProbersAfter(2500 * time.Millisecond)).To(Equal(6))
+		Expect(region.ProbersAfter(20 * time.Second)).To(Equal(12))
+	})
+
+	It("is probed less often by each of many instances", func() {
+		Expect(region.SpacedInterval(4)).To(Equal(150 * time.Millisecond))
+		Expect(region.SpacedInterval(28)).To(Equal(300 * time.Millisecond))
+		Expect(region.SpacedInterval(300)).To(BeNumerically(">", 2*time.Second))
+	})
+})
--- a/pkg/coordination/region/probes.go
+++ b/pkg/coordination/region/probes.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/members"
 	"gypsumdock/pkg/state/model"
 )
 
@@ -20,19 +22,25 @@
 ) []model.UpstreamID {
 	since := now - watched.probedAt
 	if state.Primary == "" {
-		starter := l.view.Registered && (l.reader(now) == l.config.Self.ID || now > startPatience)
-		if starter && since >= startInterval {
+		if watched.unledSince == 0 {
+			watched.unledSince = now
+		}
+		watched.changingSince = now
+		isReader := l.reader(now) == l.config.Self.ID
+		seeks := isReader || seeksPrimary(l.rankAmongLive(id), now-watched.unledSince)
+		if l.view.Registered && seeks && since >= startInterval {
 			return l.upstreamsOf(id)
 		}
 		return nil
 	}
+	watched.unledSince = 0
 	primaryDoubted := state.PrimaryLost || slices.Contains(sign.Suspects, state.Primary) || now < watched.peerDoubtUntil
 	changing := state.Sealed || primaryDoubted || l.upstreams[state.Primary].Draining
 	if !changing {
 		watched.changingSince = now
 	}
-	ranks := probingRanks + int((now-watched.changingSince)/rankPatience)
-	if since < probeInterval {
+	ranks := probersAfter(now - watched.changingSince)
+	if since < spacedInterval(len(l.view.Members)) {
 		return nil
 	}
 	if changing && state.SealRank < ranks {
@@ -52,6 +60,43 @@
 	return targets
 }
 
+// probersAfter returns the number of instances that probe all upstreams of a
+// group whose primary may be replaced, by the time for which that has lasted.
+func probersAfter(changing time.Duration) int {
+	quick := min(probingRanks+int(changing/rankPatience), maxQuickRanks)
+	return quick + int(changing/slowRankPatience)
+}
+
+// spacedInterval returns the least time between two probes of an upstream by
+// one of the instances. The probes of many would keep it busy.
+func spacedInterval(instances int) time.Duration {
+	return probeInterval * time.Duration(max(1, instances/instancesPerInterval))
+}
+
+// seeksPrimary reports whether an instance of a rank probes the upstreams of a
+// group that has had no known primary for a time, besides the reader. If all
+// did, their connections alone would keep the upstreams busy.
+func seeksPrimary(rank int, unled time.Duration) bool {
+	if unled < startPatience {
+		return false
+	}
+	return rank <= int((unled-startPatience)/startRankPatience)
+}
+
+// rankAmongLive returns the place of this instance among the live members, in an
+// order that differs from group to group.
+func (l *Loop) rankAmongLive(id model.GroupID) int {
+	own := xxhash.Sum64String(string(id) + "/" + string(l.config.Self.ID))
+	rank := 0
+	for _, member := range l.view.Members {
+		isOther := member.Member.ID != l.config.Self.ID && member.State == members.Live
+		if isOther && xxhash.Sum64String(string(id)+"/"+string(member.Member.ID)) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (l *Loop) upstreamsOf(id model.GroupID) []model.UpstreamID {
 	var all []model.UpstreamID
 	for _, upstream := range l.upstreams {
--- a/pkg/coordination/region/watch.go
+++ b/pkg/coordination/region/watch.go
@@ -20,16 +20,24 @@
 	probeInterval = 150 * time.Millisecond
 	// startInterval is that of a group without a known primary.
 	startInterval = 300 * time.Millisecond
-	// startPatience is the time after which every instance probes a group
-	// without a known primary, not only the reader.
-	startPatience = 4 * time.Second
+	// startPatience is the time after which an instance other than the reader
+	// probes a group without a known primary, and startRankPatience that after
+	// which one more of them does.
+	startPatience     = 2 * time.Second
+	startRankPatience = 2 * time.Second
 	// replicaInterval is that of replicas that do not answer.
 	replicaInterval = 500 * time.Millisecond
 	// probingRanks is the number of instances that probe all upstreams of a
 	// group whose primary may be replaced.
 	probingRanks = 2
-	// rankPatience is the time after which one more of them does.
-	rankPatience = 500 * time.Millisecond
+	// rankPatience is the time after which one more of them does, up to
+	// maxQuickRanks, and slowRankPatience that after which one more does then.
+	rankPatience     = 500 * time.Millisecond
+	maxQuickRanks    = 6
+	slowRankPatience = 3 * time.Second
+	// instancesPerInterval is the number of instances that may all probe an
+	// upstream at probeInterval.
+	instancesPerInterval = 14
 	// doubtFor is how long a doubt lasts that nothing renews.
 	doubtFor = time.Second
 	// signInterval is the least time between two answers of a primary that the
@@ -52,6 +60,9 @@
 	doubted    bool
 	// peerDoubtUntil is when the last doubt of a peer about the primary ends.
 	peerDoubtUntil time.Duration
+	// unledSince is when the group was found to have no known primary; zero if
+	// it has one.
+	unledSince time.Duration
 	// changingSince is when the primary was last found in no need of a change.
 	changingSince time.Duration
 	// probedAt is when the upstreams were last probed, and probing is the
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -279,6 +279,22 @@
 	return conn
 }
 
+// adopt takes over a connection that was opened outside the pools, if there is
+// none yet. It reports whether it did.
+func (p *Pools) adopt(conn *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.pools[conn.upstream.ID]
+	if held == nil || held.open > 0 || held.limit.Temporary || !held.upstream.SameProcess(conn.upstream) {
+		return false
+	}
+	conn.usedAt = time.Now()
+	held.open++
+	held.idle = append(held.idle, conn)
+	telemetry.UpstreamOpened.With(string(conn.upstream.ID)).Inc()
+	return true
+}
+
 // takeIdle takes the connection that was used last. There must be one.
 func (h *pool) takeIdle() *Conn {
 	last := len(h.idle) - 1
--- a/pkg/transport/textback/prober.go
+++ b/pkg/transport/textback/prober.go
@@ -17,7 +17,8 @@
 
 // Prober asks upstreams for their state: on an idle connection if there is one,
 // as an upstream whose connections are all taken refuses a new one, and on a
-// new one if that gave no answer.
+// new one if that gave no answer. That one is kept for the next question and for
+// work, where this instance holds connections.
 type Prober struct{ pools *Pools }
 
 var _ region.Upstreams = (*Prober)(nil)
@@ -53,8 +54,11 @@
 	if err != nil {
 		return region.Sample{}, err
 	}
-	defer conn.close()
-	return conn.status(deadlineOf(ctx, dialTimeout))
+	sample, err := conn.status(deadlineOf(ctx, dialTimeout))
+	if err != nil || !p.pools.adopt(conn) {
+		conn.close()
+	}
+	return sample, err
 }
 
 // probeIdle asks on an idle connection. It returns errNoIdle if there is none.
--- a/pkg/transport/textback/textback_test.go
+++ b/pkg/transport/textback/textback_test.go
@@ -65,6 +65,30 @@
 	})
 })
 
+var _ = Describe("Prober without an idle connection", func() {
+	// Every instance opened a connection for each question: at the start of 31
+	// of them these kept all upstreams busy, and no group found its primary.
+	It("keeps the connection that it opens", func() {
+		d := start(10)
+		pools := poolsOf(d, textback.Limit{})
+		prober := textback.NewProber(pools)
+		for range 5 {
+			_, err := prober.Probe(context.Background(), d.Upstream())
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(d.Opened()).To(BeEquivalentTo(1))
+		Expect(pools.Open("u")).To(Equal(1))
+	})
+
+	It("closes it where this instance holds none", func() {
+		d := start(10)
+		pools := poolsOf(d, textback.Limit{InUse: 1, Temporary: true})
+		_, err := textback.NewProber(pools).Probe(context.Background(), d.Upstream())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(d.Open, longWait).Should(BeZero())
+	})
+})
+
 var _ = Describe("Pools with a limit", func() {
 	It("lets those that want a connection wait for one in use, in order", func() {
 		d := start(10)
