--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 unit:
 	GO="$(GO)" .ci/unit
-	cd testbench && $(GO) test -race -count=1 ./...
+	cd testbench && $(GO) test -race -count=1 -timeout 30m ./...
 
 demo:
 	cd testbench && $(GO) run ./cmd/demo
