share: callers that arrive while a request is paced share it

Cause: the reader of the head row waited minHeadReadInterval inside the request, so that a query that arrived meanwhile waited for the next one, up to 0.7 s. Change: NewPaced waits before it collects the callers of a request.

--- a/pkg/coordination/share/share.go
+++ b/pkg/coordination/share/share.go
@@ -13,6 +13,9 @@
 // usable; see New. It is safe for concurrent use.
 type Call[T any] struct {
 	ask func() T
+	// pace runs before the callers that share a request are collected; nil for
+	// none.
+	pace func()
 
 	mu sync.Mutex
 	// asking is true while the goroutine of answerWaiting runs.
@@ -25,6 +28,10 @@
 // bound its own duration.
 func New[T any](ask func() T) *Call[T] { return &Call[T]{ask: ask} }
 
+// NewPaced returns a Call that calls pace, which may wait, before each request.
+// Callers that arrive during the wait share the request that follows it.
+func NewPaced[T any](pace func(), ask func() T) *Call[T] { return &Call[T]{ask: ask, pace: pace} }
+
 // Do returns the result of a request that started after Do was called, or false if
 // ctx ends first.
 func (c *Call[T]) Do(ctx context.Context) (T, bool) {
@@ -53,11 +60,11 @@
 
 // answerWaiting calls the source until no caller waits.
 func (c *Call[T]) answerWaiting() {
-	for {
-		waiting := c.takeWaiting()
-		if len(waiting) == 0 {
-			return
+	for c.hasWaiting() {
+		if c.pace != nil {
+			c.pace()
 		}
+		waiting := c.takeWaiting()
 		got := c.ask()
 		for _, answer := range waiting {
 			answer <- got
@@ -65,13 +72,20 @@
 	}
 }
 
-// takeWaiting removes and returns the waiting callers. If there are none, it clears
-// asking, so that the next caller starts answerWaiting again.
+// hasWaiting reports whether a caller waits. If none does, it clears asking, so
+// that the next caller starts answerWaiting again.
+func (c *Call[T]) hasWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asking = len(c.waiting) > 0
+	return c.asking
+}
+
+// takeWaiting removes and returns the waiting callers.
 func (c *Call[T]) takeWaiting() []chan T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waiting := c.waiting
 	c.waiting = nil
-	c.asking = len(waiting) > 0
 	return waiting
 }
--- a/pkg/coordination/share/share_test.go
+++ b/pkg/coordination/share/share_test.go
@@ -40,6 +40,29 @@
 		Expect(got).To(ConsistOf(int64(1), int64(2), int64(2)))
 	})
 
+	// Guards against a caller that arrives during the wait before a request and
+	// waits for the one after it, twice as long.
+	It("answers callers that arrive during the pause by the request that follows", func(ctx SpecContext) {
+		paused := make(chan struct{})
+		proceed := make(chan struct{})
+		var asked atomic.Int64
+		call := share.NewPaced(func() {
+			paused <- struct{}{}
+			<-proceed
+		}, func() int64 { return asked.Add(1) })
+		answers := make(chan int64, 2)
+		do := func() {
+			got, _ := call.Do(ctx)
+			answers <- got
+		}
+		go do()
+		<-paused
+		go do()
+		Eventually(call.Waiting).Should(Equal(2))
+		close(proceed)
+		Expect([]int64{<-answers, <-answers}).To(Equal([]int64{1, 1}))
+	})
+
 	It("ends with the caller's context", func() {
 		release := make(chan struct{})
 		DeferCleanup(func() { close(release) })
