failover, serving: few members; each group is served by four of them

Cause: all instances registered in the head row, held permits for all groups and sent each other heartbeats: at 78 instances 12,000 messages a second and a row of 12 KB in answer to each query. Change: an instance registers only while the row has a vacancy (Config.MaxMembers, JoinDelay); the others are observers, which hold no permit, have no vote and do not read the table. If too few members are able to serve (MembersReported, Observed.CutOff), observers register although the row is full. GroupSpec.Servers names the members that decide on a group. Package serving chooses them by hash, first in the data centres of the upstreams, and the join policy by processor share and bandwidth. A read of the head row that failed is not repeated at once.

--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -45,6 +45,9 @@
 	// up to maxWriteBackoffAttempts.
 	writeBackoffUnit        = 5 * time.Millisecond
 	maxWriteBackoffAttempts = 6
+	// maxRegistrationReadAge is the age of the newest read of the row up to which
+	// an instance registers.
+	maxRegistrationReadAge = 250 * time.Millisecond
 )
 
 // Config holds the settings of a Machine. New replaces a time that is zero by
@@ -127,6 +130,22 @@
 	// may take to execute.
 	PromotionLease     time.Duration
 	PromotionLeaseWait time.Duration
+	// MaxMembers is the number of members from which on this instance does not
+	// register, but stays an observer; zero for no bound. Each row may exceed
+	// the bound of an instance with a lower one.
+	MaxMembers int
+	// MinMembers is the number of members below which an instance registers
+	// after UrgentJoinDelay, and the number of members able to serve below which
+	// it does so although the row is full.
+	MinMembers int
+	// JoinDelay is how long the row must have had a vacancy before this instance
+	// registers. It differs between instances, so that few write at once.
+	// UrgentJoinDelay takes its place while groups may have no server.
+	JoinDelay       time.Duration
+	UrgentJoinDelay time.Duration
+	// FirstReadDelay is how long an instance waits after its start for a head
+	// row from a peer before it reads the table.
+	FirstReadDelay time.Duration
 	// Rules turns off safety rules. Only the simulation tests in package search
 	// set it.
 	Rules Rules
@@ -165,6 +184,9 @@
 	// DetectAlone seals on this instance's own probes, without those of other
 	// members.
 	DetectAlone bool
+	// ConfirmByServers promotes once the group's present servers have confirmed,
+	// without those that served it before.
+	ConfirmByServers bool
 	// TrustTimeline sends reads to every replica on the timeline of the head
 	// row, although two upstreams may have started that timeline.
 	TrustTimeline bool
--- a/pkg/state/failover/detector.go
+++ b/pkg/state/failover/detector.go
@@ -72,6 +72,7 @@
 }
 
 func (m *Machine) observed(from model.InstanceID, message Observed) {
+	m.cutOff[from] = message.CutOff
 	for _, observation := range message.Groups {
 		g := m.groupByID[observation.Group]
 		if g == nil {
@@ -101,7 +102,7 @@
 	}
 }
 
-// isLostByMajority reports whether a majority of the members with a recent vote
+// isLostByMajority reports whether a majority of the servers with a recent vote
 // has lost the primary, in at least requiredDataCentres data centres. The
 // caller has checked that this instance has.
 func (m *Machine) isLostByMajority(g *group, gh model.GroupHead) bool {
@@ -113,6 +114,9 @@
 	all := dataCentres{}
 	agreeing := dataCentres{}
 	for _, member := range m.head.Members {
+		if !g.isServedBy(member.ID) {
+			continue
+		}
 		all.add(member.DataCentre)
 		reachable, reports := m.voteOf(g, gh, member.ID)
 		if !reports {
@@ -150,8 +154,12 @@
 func (d dataCentres) add(name model.DataCentre) { d[name] = struct{}{} }
 
 // decideObserved sends this instance's view of the primaries to the other
-// members. The message also serves as heartbeat.
+// members. The message also serves as heartbeat. An instance that is no member
+// has no vote.
 func (m *Machine) decideObserved() {
+	if !m.membership.registered {
+		return
+	}
 	due := m.observedAt == 0 || m.now-m.observedAt >= m.cfg.ObserveInterval
 	if !due && !m.observeNow {
 		return
@@ -167,5 +175,5 @@
 		}
 		groups = append(groups, Observation{Group: g.id, Generation: gh.Generation, Reachable: !g.locallyLost})
 	}
-	m.sendMembers(Observed{Groups: groups})
+	m.sendMembers(Observed{Groups: groups, CutOff: m.isCutOff()})
 }
--- a/pkg/state/failover/events.go
+++ b/pkg/state/failover/events.go
@@ -107,6 +107,10 @@
 	Leaving bool
 }
 
+// MembersReported tells an observer how many members it finds able to serve
+// groups. If they are too few, it registers although the row has no vacancy.
+type MembersReported struct{ Usable int }
+
 // StopRequested starts a graceful stop: the instance marks its registration as
 // leaving but keeps its permits.
 type StopRequested struct{}
@@ -125,6 +129,9 @@
 	// SyncReplicas is the largest number of replicas for which any route of the
 	// group waits before it acknowledges a write.
 	SyncReplicas int
+	// Servers lists the members that serve the group, in the order in which they
+	// act if its primary is lost. Empty means that all members serve it.
+	Servers []model.InstanceID
 }
 
 // UpstreamSpec is the configuration of an upstream.
@@ -186,6 +193,8 @@
 func (StopRequested) isEvent()   {}
 func (StopFinished) isEvent()    {}
 
+func (MembersReported) isEvent() {}
+
 func (ReadHead) isAction()  {}
 func (WriteHead) isAction() {}
 func (SendPeer) isAction()  {}
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -17,7 +18,9 @@
 	syncReplicas int
 	// upstreams is ordered by ID.
 	upstreams []*upstream
-	permit    permit
+	// servers is GroupSpec.Servers.
+	servers []model.InstanceID
+	permit  permit
 	// stoppedGeneration is the highest generation for which this instance has
 	// given up its permit. It never holds a permit for it, or for an older one,
 	// again.
@@ -91,6 +94,12 @@
 	g.upstreams = upstreams
 	g.specKnown = true
 	g.syncReplicas = spec.SyncReplicas
+	g.servers = spec.Servers
+}
+
+// isServedBy reports whether a member takes part in the decisions on the group.
+func (g *group) isServedBy(id model.InstanceID) bool {
+	return len(g.servers) == 0 || slices.Contains(g.servers, id)
 }
 
 func (g *group) upstream(id model.UpstreamID) *upstream {
--- a/pkg/state/failover/headread.go
+++ b/pkg/state/failover/headread.go
@@ -24,13 +24,21 @@
 	failed bool
 }
 
-// decideReads starts a read of the head row if one is due.
+// decideReads starts a read of the head row if one is due. After a failure the
+// next read waits for ResendInterval, as a table that turns this instance away
+// answers at once.
 func (m *Machine) decideReads() {
+	if !m.needsReads() {
+		return
+	}
 	since := m.now - m.reads.sentAt
 	if m.reads.started && m.reads.waiting && since < m.cfg.ReadTimeout {
 		return
 	}
-	unknown := m.head == nil && m.reads.failed && since >= m.cfg.ResendInterval
+	if m.reads.started && m.reads.failed && since < m.cfg.ResendInterval {
+		return
+	}
+	unknown := m.head == nil && m.reads.failed
 	due := !m.reads.started || m.reads.wanted || unknown || since >= m.cfg.ReadInterval
 	if !due {
 		return
@@ -42,6 +50,16 @@
 	m.emit(ReadHead{})
 }
 
+// needsReads reports whether this instance reads the table itself. An observer
+// gets the row from a member, and an instance that just started waits for a peer
+// that knows the row.
+func (m *Machine) needsReads() bool {
+	if m.head == nil {
+		return m.now-m.startedAt >= m.cfg.FirstReadDelay
+	}
+	return !m.isObserver()
+}
+
 func (m *Machine) headRead(event HeadRead) {
 	if event.StartedAt >= m.reads.sentAt {
 		m.reads.waiting = false
--- a/pkg/state/failover/headwrite.go
+++ b/pkg/state/failover/headwrite.go
@@ -172,6 +172,25 @@
 	return rank
 }
 
+// serverRank returns this instance's place, from 0, among the members that serve
+// the group and are heard from. Without a list of servers all members serve it,
+// in the pseudo-random order of duty. skip is not counted.
+func (m *Machine) serverRank(g *group, duty string, skip model.InstanceID) int {
+	if len(g.servers) == 0 {
+		return m.rank(duty+string(g.id), skip)
+	}
+	rank := 0
+	for _, id := range g.servers {
+		if id == m.self {
+			return rank
+		}
+		if id != skip && m.tracker.IsResponsive(m.now, id) {
+			rank++
+		}
+	}
+	return rank
+}
+
 func sortGroups(groups []*group) {
 	sort.Slice(groups, func(i, j int) bool { return groups[i].id < groups[j].id })
 }
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/members"
@@ -18,6 +19,8 @@
 	pausedUntil time.Duration
 	// started is set by the first event.
 	started bool
+	// startedAt is the time of that event.
+	startedAt time.Duration
 	// head is the newest known head row, which must not be modified; nil before
 	// the first read.
 	head *model.Head
@@ -28,11 +31,16 @@
 	// yet.
 	headReadAt       time.Duration
 	headConfirmation headConfirmation
-	reads            reads
-	writes           writes
-	promises         promises
-	membership       membership
-	tracker          *members.Tracker
+	// confirmedAt is the latest time at which any row was confirmed to be the
+	// current one.
+	confirmedAt time.Duration
+	// cutOff holds the other members' Observed.CutOff.
+	cutOff     map[model.InstanceID]bool
+	reads      reads
+	writes     writes
+	promises   promises
+	membership membership
+	tracker    *members.Tracker
 	// groups holds the configured groups, ordered by ID.
 	groups []*group
 	// groupByID also holds groups that the configuration does not name, or no
@@ -62,6 +70,7 @@
 			GoneAfter:    full.EvictAfter,
 		}),
 		groupByID: map[model.GroupID]*group{},
+		cutOff:    map[model.InstanceID]bool{},
 	}
 }
 
@@ -113,6 +122,9 @@
 		m.bundleAdopted(event)
 	case InstancesListed:
 		m.instancesListed(event)
+	case MembersReported:
+		m.membership.reported = true
+		m.membership.usable = event.Usable
 	case StopRequested:
 		m.membership.stopping = true
 	case StopFinished:
@@ -122,6 +134,9 @@
 
 // decide takes every decision that is due in the present state.
 func (m *Machine) decide() {
+	if m.head != nil {
+		m.updateVacancy()
+	}
 	m.decideReads()
 	if m.head == nil {
 		return
@@ -166,6 +181,9 @@
 // pause say nothing about the others, so they are discarded.
 func (m *Machine) advance(now time.Duration) {
 	paused := m.started && now-m.now > m.cfg.SuspectAfter/2
+	if !m.started {
+		m.startedAt = now
+	}
 	m.started = true
 	m.now = now
 	if !paused {
@@ -217,13 +235,17 @@
 }
 
 // bundleAdopted applies the groups of a new configuration. The permits of
-// groups that it no longer names are dropped.
+// groups that it no longer names are dropped. What was known of the upstreams of
+// a group that it did not name before is out of date.
 func (m *Machine) bundleAdopted(event BundleAdopted) {
 	old := m.groups
 	groups := make([]*group, 0, len(event.Groups))
 	for _, spec := range event.Groups {
 		g := m.groupRecord(spec.ID)
 		g.setSpec(spec)
+		if !slices.Contains(old, g) {
+			g.resumed(m.now)
+		}
 		groups = append(groups, g)
 	}
 	sortGroups(groups)
--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -14,6 +14,14 @@
 	// stopping is true after StopRequested, and finished after StopFinished.
 	stopping bool
 	finished bool
+	// vacantSince is when the row was found to have a vacancy for this
+	// instance; zero while it has none. vacant tells the two apart at time zero.
+	vacantSince time.Duration
+	vacant      bool
+	// usable is the number of members that this observer found able to serve,
+	// if reported is true.
+	usable   int
+	reported bool
 	// registered is true while the newest known row lists this instance.
 	registered bool
 	// registeredAt is when this instance first read a row with its
@@ -119,9 +127,87 @@
 	if found && current == wanted {
 		return
 	}
+	if !found && (m.isObserver() || !m.hasReadForRegistration()) {
+		return
+	}
 	changes.add(func(head *model.Head) { setMember(head, wanted) })
 }
 
+// hasReadForRegistration reports whether the row was read recently enough for a
+// registration. An observer does not follow the row, so a write that is based on
+// what it knows would most likely conflict with that of another one.
+func (m *Machine) hasReadForRegistration() bool {
+	if m.cfg.MaxMembers == 0 || m.headReadAt != 0 && m.now-m.headReadAt <= maxRegistrationReadAge {
+		return true
+	}
+	m.reads.wanted = true
+	m.decideReads()
+	return false
+}
+
+// updateVacancy records since when the newest known row has a vacancy for this
+// instance.
+func (m *Machine) updateVacancy() {
+	s := &m.membership
+	vacant := m.hasVacancy()
+	if vacant && !s.vacant {
+		s.vacantSince = m.now
+	}
+	s.vacant = vacant
+}
+
+// hasVacancy reports whether the newest known row has fewer members than this
+// instance accepts as enough, or too few that are able to serve.
+func (m *Machine) hasVacancy() bool {
+	return m.cfg.MaxMembers == 0 || m.activeMembers() < m.cfg.MaxMembers || m.lacksUsableMembers()
+}
+
+// lacksUsableMembers reports whether fewer than MinMembers are able to serve,
+// although the row lists more.
+func (m *Machine) lacksUsableMembers() bool {
+	return m.membership.reported && m.membership.usable < m.cfg.MinMembers
+}
+
+// activeMembers returns the number of members that neither leave nor are
+// evicted.
+func (m *Machine) activeMembers() int {
+	count := 0
+	for _, member := range m.head.Members {
+		if !member.Leaving && member.Evicted == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// isObserver reports whether this instance knows a row but does not register:
+// the row has no vacancy, or has not had it for long enough. One that replaces
+// an earlier process of its machine needs no vacancy.
+func (m *Machine) isObserver() bool {
+	if m.head == nil {
+		return false
+	}
+	for _, member := range m.head.Members {
+		if member.ID == m.self || member.Machine != "" && member.Machine == m.cfg.Self.Machine {
+			return false
+		}
+	}
+	s := &m.membership
+	if s.stopping || s.finished || !s.vacant {
+		return true
+	}
+	return m.now-s.vacantSince < m.joinDelay()
+}
+
+// joinDelay returns how long a vacancy must have lasted before this instance
+// registers.
+func (m *Machine) joinDelay() time.Duration {
+	if m.activeMembers() < m.cfg.MinMembers || m.lacksUsableMembers() {
+		return m.cfg.UrgentJoinDelay
+	}
+	return m.cfg.JoinDelay
+}
+
 // decideEstablished makes this instance established once every permit from
 // before its registration has expired. That takes permitExpiryWait after the
 // confirmation of an established member or, without one, promiseExpiryWait
--- a/pkg/state/failover/peermessages.go
+++ b/pkg/state/failover/peermessages.go
@@ -68,6 +68,9 @@
 // lost it. It also serves as heartbeat.
 type Observed struct {
 	Groups []Observation
+	// CutOff is true while the sender cannot renew its permits: neither the
+	// table nor a reader has confirmed the head row for long.
+	CutOff bool
 }
 
 // Observation is the view of one group's primary. Reachable is false if the
--- a/pkg/state/failover/permit.go
+++ b/pkg/state/failover/permit.go
@@ -65,6 +65,7 @@
 // renewPermits renews the permits of all open groups. at is a time at which
 // the newest known row was the current one.
 func (m *Machine) renewPermits(at time.Duration) {
+	m.confirmedAt = max(m.confirmedAt, at)
 	m.headConfirmation = headConfirmation{version: m.head.Version, at: max(at, m.headConfirmedAt())}
 	if !m.isPermitHolder() {
 		return
@@ -74,6 +75,13 @@
 	}
 }
 
+// isCutOff reports whether this instance cannot renew its permits, so that the
+// groups that it serves are better served by others.
+func (m *Machine) isCutOff() bool {
+	const numerator, denominator = 3, 4
+	return m.membership.registered && m.now-max(m.confirmedAt, m.membership.registeredAt) > m.cfg.PermitLifetime*numerator/denominator
+}
+
 func (m *Machine) renewPermit(g *group, from time.Duration) {
 	gh, found := m.groupHead(g.id)
 	if !found || gh.Seal != nil {
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -78,7 +78,7 @@
 	if g.leavingSwitchAt != 0 && m.now-g.leavingSwitchAt < m.cfg.LeavingRetryInterval {
 		return
 	}
-	rank := m.rank("seal/"+string(g.id), "")
+	rank := m.serverRank(g, "seal/", "")
 	if m.now-g.leavingSince < time.Duration(rank)*m.cfg.LeavingStagger {
 		return
 	}
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -100,6 +100,9 @@
 
 func (m *Machine) allConfirmed(g *group) bool {
 	for _, member := range m.head.Members {
+		if m.cfg.Rules.ConfirmByServers && !g.isServedBy(member.ID) {
+			continue
+		}
 		if !g.seal.confirmed[member.ID] {
 			return false
 		}
@@ -146,7 +149,7 @@
 			return false
 		}
 	}
-	next := m.nextPromoter()
+	next := m.nextPromoter(g)
 	if next == "" || m.now-g.seal.contentAt < m.cfg.DetectAfter {
 		return false
 	}
@@ -154,14 +157,17 @@
 	return true
 }
 
-// nextPromoter returns the next member in the circular order of IDs that is
-// heard from; empty if there is none.
-func (m *Machine) nextPromoter() model.InstanceID {
+// nextPromoter returns the next member in the circular order of IDs that serves
+// the group and is heard from; empty if there is none.
+func (m *Machine) nextPromoter(g *group) model.InstanceID {
 	first := model.InstanceID("")
 	for _, member := range m.head.Members {
 		if member.ID == m.self || member.Evicted != 0 || !m.tracker.IsResponsive(m.now, member.ID) {
 			continue
 		}
+		if !g.isServedBy(member.ID) {
+			continue
+		}
 		if member.ID > m.self {
 			return member.ID
 		}
--- a/pkg/state/failover/registration_test.go
+++ b/pkg/state/failover/registration_test.go
@@ -33,6 +33,8 @@
 	head      *model.Head
 	busyUntil time.Duration
 	writes    int
+	reads     int
+	messages  int
 	machines  []*failover.Machine
 	queue     startQueue
 	order     int
@@ -73,13 +75,19 @@
 	}
 }
 
-func newStartSimulation(instances int, seed uint64) *startSimulation {
+// newStartSimulation returns a simulation of this many instances. configure, if
+// not nil, completes the settings of each.
+func newStartSimulation(instances int, seed uint64, configure func(index int, config *failover.Config)) *startSimulation {
 	s := &startSimulation{random: rand.New(rand.NewPCG(seed, 1)), head: &model.Head{Version: 1, Revision: 1, MembersVersion: 1}}
 	for i := range instances {
 		s.head.Members = append(s.head.Members, startMember(i, "before"))
 	}
 	for i := range instances {
-		machine := failover.New(failover.Config{Self: startMember(i, "now"), TickInterval: startTick})
+		config := failover.Config{Self: startMember(i, "now"), TickInterval: startTick}
+		if configure != nil {
+			configure(i, &config)
+		}
+		machine := failover.New(config)
 		s.machines = append(s.machines, machine)
 		begin := time.Duration(s.random.Int64N(int64(startSpread)))
 		s.schedule(begin, func(now time.Duration) { s.tick(machine, now) })
@@ -95,7 +103,10 @@
 func (s *startSimulation) carryOut(machine *failover.Machine, now time.Duration, actions []failover.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
+		case failover.SendPeer:
+			s.messages++
 		case failover.ReadHead:
+			s.reads++
 			s.schedule(now+startRoundTrip/2, func(read time.Duration) {
 				head := s.head
 				s.answer(machine, read+startRoundTrip/2, failover.HeadRead{StartedAt: now, Head: head})
@@ -158,7 +169,7 @@
 	// already replaced.
 	It("registers 28 instances within a second", func() {
 		for seed := range uint64(20) {
-			s := newStartSimulation(28, seed)
+			s := newStartSimulation(28, seed, nil)
 			took := s.run(20 * time.Second)
 			GinkgoWriter.Printf("seed %d: %v, %d writes\n", seed, took, s.writes)
 			Expect(took).To(BeNumerically("<", time.Second), "seed %d, %d writes", seed, s.writes)
--- a/pkg/state/failover/seal.go
+++ b/pkg/state/failover/seal.go
@@ -32,7 +32,7 @@
 // order of their ranks, SealStagger apart, so that usually only one of them
 // writes.
 func (m *Machine) decideLost(g *group, gh model.GroupHead, changes *edits) {
-	stagger := time.Duration(m.rank("seal/"+string(g.id), "")) * m.cfg.SealStagger
+	stagger := time.Duration(m.serverRank(g, "seal/", "")) * m.cfg.SealStagger
 	candidate := m.mostAdvancedReplica(g, gh, "")
 	if candidate == nil || m.now-g.lostSince < stagger || !m.isHeadFresh() {
 		return
@@ -62,7 +62,7 @@
 	if !m.membership.established {
 		wait += m.cfg.TakeoverStuckAfter
 	}
-	wait += time.Duration(m.rank("takeover/"+string(g.id), gh.Seal.By)) * m.cfg.TakeoverStagger
+	wait += time.Duration(m.serverRank(g, "takeover/", gh.Seal.By)) * m.cfg.TakeoverStagger
 	if m.now-g.seal.contentAt < wait || !m.isHeadFresh() {
 		return
 	}
--- a/pkg/state/failover/search/faults_test.go
+++ b/pkg/state/failover/search/faults_test.go
@@ -1,6 +1,7 @@
 package search_test
 
 import (
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/failover"
@@ -29,7 +30,7 @@
 var allFaults = []fault{
 	killPrimary, killPrimary, killAnyServer, pauseNode, pauseNode, cutNode, cutNode, cutTable, tableDown, tableSlow,
 	badNetwork, killNode, joinNode, partition, partition, stallReplica, requestSwitch, pausePromoter, pausePromoter,
-	cutPrimary, killCandidate, killCandidate, unlistNode, pauseInRead, cutAtSeal, leaveServer,
+	cutPrimary, killCandidate, killCandidate, unlistNode, pauseInRead, cutAtSeal, leaveServer, moveGroup, moveGroup,
 }
 
 // schedule plans a few random faults, the heal that ends them, and in half of
@@ -299,3 +300,34 @@
 	n := w.anyNode()
 	n.deliver(func() { n.handle(failover.SwitchRequested{Group: groupID, Target: target}) })
 }
+
+// moveGroup hands the group over to some of the nodes, and back to all of them
+// later. The nodes learn of either at different times.
+func moveGroup(w *world, lasts time.Duration) {
+	var servers []model.InstanceID
+	for _, n := range w.nodes {
+		if w.chance(0.6) {
+			servers = append(servers, n.id)
+		}
+	}
+	if len(servers) == 0 {
+		servers = append(servers, w.anyNode().id)
+	}
+	w.tellServers(servers)
+	w.after(lasts, func() { w.tellServers(nil) })
+}
+
+// tellServers tells all nodes who serves the group; nil means all of them. A
+// node that does not serve it no longer knows the group.
+func (w *world) tellServers(servers []model.InstanceID) {
+	for _, n := range w.nodes {
+		event := w.bundle(0)
+		event.Groups[0].Servers = servers
+		if servers != nil && !slices.Contains(servers, n.id) {
+			event = failover.BundleAdopted{}
+		}
+		w.after(w.between(0, 2*time.Second), func() {
+			n.deliver(func() { n.handle(event) })
+		})
+	}
+}
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -26,6 +26,9 @@
 	Registered bool
 	// Established is defined in the package documentation.
 	Established bool
+	// Observer is true while this instance knows a head row but neither is
+	// registered nor tries to register.
+	Observer bool
 }
 
 // GroupView is the state of a group in a View.
@@ -68,6 +71,8 @@
 type MemberView struct {
 	Member model.Member
 	State  members.State
+	// CutOff is true while the member cannot renew its permits.
+	CutOff bool
 }
 
 // View returns a snapshot of the machine at the time of the last event.
@@ -82,8 +87,11 @@
 	if m.head == nil {
 		return view
 	}
+	view.Observer = m.isObserver()
 	for _, member := range m.head.Members {
-		view.Members = append(view.Members, MemberView{Member: member, State: m.tracker.State(m.now, member.ID)})
+		view.Members = append(view.Members, MemberView{
+			Member: member, State: m.tracker.State(m.now, member.ID), CutOff: m.isMemberCutOff(member.ID),
+		})
 	}
 	for _, g := range m.groups {
 		gh, found := m.groupHead(g.id)
@@ -94,6 +102,13 @@
 	return view
 }
 
+func (m *Machine) isMemberCutOff(id model.InstanceID) bool {
+	if id == m.self {
+		return m.isCutOff()
+	}
+	return m.cutOff[id]
+}
+
 func (m *Machine) viewGroup(g *group, gh model.GroupHead) GroupView {
 	view := GroupView{
 		ID:         gh.ID,
@@ -103,7 +118,7 @@
 		Timeline:   gh.Timeline,
 		Sealed:     gh.Seal != nil || g.stoppedGeneration >= gh.Generation || g.permit.drainUntil != 0,
 		Draining:   g.permit.drainUntil != 0,
-		SealRank:   m.rank("seal/"+string(g.id), ""),
+		SealRank:   m.serverRank(g, "seal/", ""),
 
 		PrimaryLost: g.locallyLost,
 	}
--- /dev/null
+++ b/pkg/state/serving/serving_test.go
@@ -0,0 +1,177 @@
+package serving_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/serving"
+)
+
+func TestServing(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "serving")
+}
+
+// region returns this many members, spread over five data centres.
+func region(count int) []model.Member {
+	var all []model.Member
+	for i := range count {
+		all = append(all, model.Member{
+			ID:         model.InstanceID(fmt.Sprintf("instance-%03d", i)),
+			DataCentre: model.DataCentre(fmt.Sprintf("centre-%d", i%5)),
+		})
+	}
+	return all
+}
+
+func groupOf(index int) serving.Group {
+	return serving.Group{
+		ID:          model.GroupID(fmt.Sprintf("group-%d", index)),
+		DataCentres: []model.DataCentre{"centre-0", "centre-1", "centre-2"},
+	}
+}
+
+func dataCentre(id model.InstanceID, among []model.Member) model.DataCentre {
+	for _, member := range among {
+		if member.ID == id {
+			return member.DataCentre
+		}
+	}
+	return ""
+}
+
+var _ = Describe("Servers", func() {
+	It("are all members of a small region", func() {
+		Expect(serving.Servers(groupOf(1), region(4))).To(HaveLen(4))
+		Expect(serving.Servers(groupOf(1), region(1))).To(HaveLen(1))
+		Expect(serving.Servers(groupOf(1), nil)).To(BeEmpty())
+	})
+
+	// Guards against costs that grow with instances x upstreams: 78 instances each
+	// held connections to, and permits for, 20 groups.
+	It("are few in a large region, in each data centre of the upstreams", func() {
+		live := region(78)
+		for i := range 20 {
+			servers := serving.Servers(groupOf(i), live)
+			Expect(servers).To(HaveLen(serving.ServersPerGroup))
+			centres := map[model.DataCentre]bool{}
+			for _, id := range servers {
+				centres[dataCentre(id, live)] = true
+			}
+			Expect(centres).To(HaveLen(3))
+			Expect(centres).To(HaveKey(model.DataCentre("centre-0")))
+		}
+	})
+
+	It("do not depend on the order of the members", func() {
+		live := region(30)
+		reversed := region(30)
+		for i, j := 0, len(reversed)-1; i < j; i, j = i+1, j-1 {
+			reversed[i], reversed[j] = reversed[j], reversed[i]
+		}
+		Expect(serving.Servers(groupOf(3), live)).To(Equal(serving.Servers(groupOf(3), reversed)))
+	})
+
+	It("change by one when one is lost", func() {
+		live := region(30)
+		servers := serving.Servers(groupOf(3), live)
+		var others []model.Member
+		for _, member := range live {
+			if member.ID != servers[1] {
+				others = append(others, member)
+			}
+		}
+		after := serving.Servers(groupOf(3), others)
+		Expect(after).To(HaveLen(serving.ServersPerGroup))
+		Expect(after).To(ContainElements(servers[0], servers[2]))
+		Expect(after).NotTo(ContainElement(servers[1]))
+	})
+
+	It("are spread over the members", func() {
+		live := region(12)
+		served := map[model.InstanceID]int{}
+		for i := range 20 {
+			for _, id := range serving.Servers(groupOf(i), live) {
+				served[id]++
+			}
+		}
+		for _, count := range served {
+			Expect(count).To(BeNumerically("<=", 20))
+		}
+		Expect(len(served)).To(BeNumerically(">=", 6))
+	})
+})
+
+var _ = Describe("ForwardOrder", func() {
+	It("starts with the servers of the own data centre", func() {
+		live := region(20)
+		self := model.Member{ID: "caller-side", DataCentre: "centre-2"}
+		order := serving.ForwardOrder(self, "group-1", live[:4])
+		Expect(order).To(HaveLen(4))
+		Expect(dataCentre(order[0], live)).To(Equal(model.DataCentre("centre-2")))
+	})
+
+	It("spreads instances without a server nearby", func() {
+		live := region(20)
+		first := map[model.InstanceID]int{}
+		for i := range 100 {
+			self := model.Member{ID: model.InstanceID(fmt.Sprintf("caller-side-%d", i)), DataCentre: "elsewhere"}
+			first[serving.ForwardOrder(self, "group-1", live[:4])[0]]++
+		}
+		Expect(first).To(HaveLen(4))
+		for _, count := range first {
+			Expect(count).To(BeNumerically("<", 50))
+		}
+	})
+})
+
+var _ = Describe("ConnectionsPerServer", func() {
+	DescribeTable("leaves connections free",
+		func(maxConnections, servers, expected int) {
+			got := serving.ConnectionsPerServer(maxConnections, servers)
+			Expect(got).To(Equal(expected))
+			Expect(got * servers).To(BeNumerically("<", maxConnections))
+		},
+		Entry("small site", 16, 4, 3),
+		Entry("large site", 72, 4, 17),
+		Entry("one instance left", 16, 1, 13),
+	)
+
+	It("is never below one", func() {
+		Expect(serving.ConnectionsPerServer(2, 4)).To(Equal(1))
+		Expect(serving.ConnectionsPerServer(0, 0)).To(Equal(1))
+	})
+})
+
+var _ = Describe("NewJoinPolicy", func() {
+	small := serving.Machine{Cores: 0.46, LinkMbps: 20}
+	large := serving.Machine{Cores: 0.8, LinkMbps: 200}
+
+	It("prefers instances with more processor time and bandwidth", func() {
+		weak, strong := serving.NewJoinPolicy("a", small), serving.NewJoinPolicy("a", large)
+		Expect(strong.MaxMembers).To(BeNumerically(">", weak.MaxMembers))
+		Expect(strong.FirstReadDelay).To(BeZero())
+		Expect(weak.FirstReadDelay).NotTo(BeZero())
+	})
+
+	It("lets every instance of a small region become a member at once", func() {
+		Expect(serving.NewJoinPolicy("a", small).MinMembers).To(Equal(serving.ServersPerGroup))
+		Expect(serving.NewJoinPolicy("a", small).MaxMembers).To(BeNumerically(">=", serving.ServersPerGroup))
+	})
+
+	It("treats unknown resources as sufficient", func() {
+		Expect(serving.NewJoinPolicy("a", serving.Machine{}).MaxMembers).To(Equal(serving.NewJoinPolicy("a", large).MaxMembers))
+	})
+
+	It("spreads the delays of equal instances", func() {
+		delays := map[any]bool{}
+		for i := range 20 {
+			delays[serving.NewJoinPolicy(model.InstanceID(fmt.Sprint(i)), large).JoinDelay] = true
+		}
+		Expect(len(delays)).To(BeNumerically(">", 15))
+	})
+})
