--- a/pkg/coordination/region/observer.go
+++ b/pkg/coordination/region/observer.go
@@ -20,6 +20,8 @@
 const (
 	observeInterval = time.Second
 	observeTimeout  = 500 * time.Millisecond
+	// quickObserveInterval applies while too few members are able to serve.
+	quickObserveInterval = 250 * time.Millisecond
 	// headRefreshInterval is the time between two reads of the head row by an
 	// observer that can query no member.
 	headRefreshInterval = 300 * time.Millisecond
@@ -31,7 +33,11 @@
 // observe queries a member for the state of the region, if a query is due.
 func (l *Loop) observe(now time.Duration) {
 	l.trackObserver(now)
-	if !l.view.Observer || l.observing || now-l.observedAt < observeInterval {
+	interval := observeInterval
+	if l.reportedUsable >= 0 && l.reportedUsable < l.config.Failover.MinMembers {
+		interval = quickObserveInterval
+	}
+	if !l.view.Observer || l.observing || now-l.observedAt < interval {
 		return
 	}
 	member, found := l.memberToQuery(now)
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -19,12 +19,9 @@
 	store "gypsumdock/pkg/coordination/platform"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/events"
-	"gypsumdock/pkg/protocol/meshlink"
-	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/state/serving"
-	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/mesh"
 	"gypsumdock/pkg/transport/meshpeer"
 	"gypsumdock/pkg/transport/textback"
@@ -252,93 +249,6 @@
 	}
 }
 
-// readyHandler serves the readiness check, by which the platform directs
-// callers, and the metrics.
-func (h *Hosted) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !h.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { telemetry.WriteMetrics(w) })
-	return mux
-}
-
-// isReady reports whether the instance serves callers: a configuration is
-// active, each group has a server, and the instance has held the permit of each
-// group that it serves itself once. It
-// stays ready during a change of primary, since reads continue.
-func (h *Hosted) isReady() bool {
-	if h.stopping.isSet() {
-		return false
-	}
-	if h.wasReady.isSet() {
-		return !h.cutOff.isSet()
-	}
-	snapshot := h.loop.Snapshot()
-	if snapshot.Catalog.Version == 0 || snapshot.View.Observer && snapshot.MembersAnsweredAt == 0 {
-		return false
-	}
-	for _, served := range snapshot.Serving {
-		if len(served.Servers) == 0 {
-			return false
-		}
-	}
-	for id, served := range snapshot.Serving {
-		if state, known := snapshot.View.Group(id); served.Local && (!known || state.PermitUntil == 0) {
-			return false
-		}
-	}
-	h.wasReady.set()
-	events.Log(context.Background(), h.logger, events.InstanceReady)
-	return true
-}
-
-// watchConnectivity makes callers move to other instances while this one is cut
-// off, that is, neither holds a permit nor gets answers from the store.
-func (h *Hosted) watchConnectivity(ctx context.Context) {
-	ticker := time.NewTicker(connectivityInterval)
-	defer ticker.Stop()
-	var lastConnected time.Duration
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := h.clock.Now()
-		if h.isConnected(now) {
-			lastConnected = now
-		}
-		cutOff := h.wasReady.isSet() && now-lastConnected > cutOffAfter
-		if cutOff != h.cutOff.isSet() {
-			h.cutOff.change(cutOff)
-			events.Log(ctx, h.logger, events.InstanceAway, slog.Bool("away", cutOff), slog.Duration("since", now-lastConnected))
-		}
-		h.front.SetDraining(cutOff)
-	}
-}
-
-// isConnected reports whether the store answers or a permit is held or, for an
-// observer, whether a member answers.
-func (h *Hosted) isConnected(now time.Duration) bool {
-	snapshot := h.loop.Snapshot()
-	view := &snapshot.View
-	if view.Observer {
-		return now-snapshot.MembersAnsweredAt <= membersAnswerAge
-	}
-	if view.PlatformReachable {
-		return true
-	}
-	for _, group := range view.Groups {
-		if now < group.PermitUntil {
-			return true
-		}
-	}
-	return false
-}
-
 // Run serves until ctx ends, and then stops gracefully. A signal on reload is
 // only logged. The error is nil if no work in flight was interrupted.
 func (h *Hosted) Run(ctx context.Context, reload <-chan os.Signal) error {
@@ -392,55 +302,3 @@
 	events.Log(context.Background(), h.logger, events.InstanceStopped)
 	return err
 }
-
-// hostedPeer handles the messages and forwarded units of work of peers.
-type hostedPeer struct {
-	loop  *region.Loop
-	front *textfront.Server
-}
-
-var _ mesh.Handler = hostedPeer{}
-
-// HandleMessage handles one message of a peer.
-func (p hostedPeer) HandleMessage(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
-	if message.GetHeadAsk() != nil {
-		head := p.loop.Snapshot().View.Head
-		if head == nil {
-			reply(meshlink.EncodeFailure("no head row known"))
-			return
-		}
-		reply(meshlink.EncodeHead(head))
-		return
-	}
-	if message.GetAlive() != nil {
-		reply(&meshpb.Envelope{Body: &meshpb.Envelope_Alive{Alive: &meshpb.Alive{}}})
-		return
-	}
-	if ask := message.GetRegionAsk(); ask != nil {
-		go p.answerRegion(ask, reply)
-		return
-	}
-	decoded, found := meshlink.Decode(message)
-	if !found {
-		reply(meshlink.EncodeFailure("no answer to this message"))
-		return
-	}
-	p.loop.PeerMessageReceived(from, decoded)
-}
-
-// answerRegion answers a peer's query for the region's state from the store.
-func (p hostedPeer) answerRegion(ask *meshpb.RegionAsk, reply func(*meshpb.Envelope)) {
-	ctx, cancel := context.WithTimeout(context.Background(), meshCallTimeout)
-	defer cancel()
-	answer, err := p.loop.AnswerStateQuery(ctx, meshlink.DecodeRegionAsk(ask))
-	if err != nil {
-		reply(meshlink.EncodeFailure(err.Error()))
-		return
-	}
-	reply(meshlink.EncodeRegionAnswer(answer, model.RowVersion(ask.GetHeadVersion())))
-}
-
-// HandleForward executes a unit of work that a peer forwards.
-func (p hostedPeer) HandleForward(_ context.Context, from model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
-	p.front.ServeForwarded(from, conn)
-}
--- /dev/null
+++ b/pkg/instance/hostedpeer.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"context"
+	"net"
+
+	"gypsumdock/pkg/coordination/region"
+	"gypsumdock/pkg/protocol/meshlink"
+	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/mesh"
+	"gypsumdock/pkg/transport/textfront"
+)
+
+// hostedPeer handles the messages and forwarded units of work of peers.
+type hostedPeer struct {
+	loop  *region.Loop
+	front *textfront.Server
+}
+
+var _ mesh.Handler = hostedPeer{}
+
+// HandleMessage handles one message of a peer.
+func (p hostedPeer) HandleMessage(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	if message.GetHeadAsk() != nil {
+		head := p.loop.Snapshot().View.Head
+		if head == nil {
+			reply(meshlink.EncodeFailure("no head row known"))
+			return
+		}
+		reply(meshlink.EncodeHead(head))
+		return
+	}
+	if message.GetAlive() != nil {
+		reply(&meshpb.Envelope{Body: &meshpb.Envelope_Alive{Alive: &meshpb.Alive{}}})
+		return
+	}
+	if ask := message.GetRegionAsk(); ask != nil {
+		go p.answerRegion(ask, reply)
+		return
+	}
+	decoded, found := meshlink.Decode(message)
+	if !found {
+		reply(meshlink.EncodeFailure("no answer to this message"))
+		return
+	}
+	p.loop.PeerMessageReceived(from, decoded)
+}
+
+// answerRegion answers a peer's query for the region's state from the store.
+func (p hostedPeer) answerRegion(ask *meshpb.RegionAsk, reply func(*meshpb.Envelope)) {
+	ctx, cancel := context.WithTimeout(context.Background(), meshCallTimeout)
+	defer cancel()
+	answer, err := p.loop.AnswerStateQuery(ctx, meshlink.DecodeRegionAsk(ask))
+	if err != nil {
+		reply(meshlink.EncodeFailure(err.Error()))
+		return
+	}
+	reply(meshlink.EncodeRegionAnswer(answer, model.RowVersion(ask.GetHeadVersion())))
+}
+
+// HandleForward executes a unit of work that a peer forwards.
+func (p hostedPeer) HandleForward(_ context.Context, from model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
+	p.front.ServeForwarded(from, conn)
+}
--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -45,6 +45,10 @@
 	// up to maxWriteBackoffAttempts.
 	writeBackoffUnit        = 5 * time.Millisecond
 	maxWriteBackoffAttempts = 6
+	// replaceDelay is how long the table must have answered an observer before it
+	// takes the place of members that are cut off. In that time it learns of
+	// their return.
+	replaceDelay = 500 * time.Millisecond
 	// maxRegistrationReadAge is the age of the newest read of the row up to which
 	// an instance registers.
 	maxRegistrationReadAge = 250 * time.Millisecond
--- a/pkg/state/failover/headread.go
+++ b/pkg/state/failover/headread.go
@@ -18,8 +18,10 @@
 	// and everOK whether there was any.
 	lastOKStart time.Duration
 	everOK      bool
-	// answeredAt is when the newest answer arrived.
-	answeredAt time.Duration
+	// answeredAt is when the newest answer arrived, and answeringSince when the
+	// first one did after which there was neither a failure nor a long silence.
+	answeredAt     time.Duration
+	answeringSince time.Duration
 	// failed is true if the newest result was a failure.
 	failed bool
 }
@@ -51,13 +53,13 @@
 }
 
 // needsReads reports whether this instance reads the table itself. An observer
-// gets the row from a member, and an instance that just started waits for a peer
-// that knows the row.
+// gets the row from a member unless too few of these are able to serve, and an
+// instance that just started waits for a peer that knows the row.
 func (m *Machine) needsReads() bool {
 	if m.head == nil {
 		return m.now-m.startedAt >= m.cfg.FirstReadDelay
 	}
-	return !m.isObserver()
+	return !m.isObserver() || m.lacksUsableMembers()
 }
 
 func (m *Machine) headRead(event HeadRead) {
@@ -78,6 +80,9 @@
 // tableAnswered handles a row that the table returned to a read or write of
 // this instance. The request started at startedAt.
 func (m *Machine) tableAnswered(startedAt time.Duration, head *model.Head) {
+	if m.reads.failed || !m.reads.everOK || m.now-m.reads.answeredAt > 2*m.cfg.ReadInterval {
+		m.reads.answeringSince = m.now
+	}
 	m.reads.failed = false
 	m.reads.answeredAt = m.now
 	if startedAt >= m.reads.lastOKStart {
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -31,9 +31,6 @@
 	// yet.
 	headReadAt       time.Duration
 	headConfirmation headConfirmation
-	// confirmedAt is the latest time at which any row was confirmed to be the
-	// current one.
-	confirmedAt time.Duration
 	// cutOff holds the other members' Observed.CutOff.
 	cutOff     map[model.InstanceID]bool
 	reads      reads
--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -196,7 +196,16 @@
 	if s.stopping || s.finished || !s.vacant {
 		return true
 	}
-	return m.now-s.vacantSince < m.joinDelay()
+	since := s.vacantSince
+	if m.activeMembers() >= m.cfg.MaxMembers {
+		// The members that are cut off may be about to return, for example after
+		// an outage of the table.
+		if !m.isPlatformReachable() {
+			return true
+		}
+		since = max(since, m.reads.answeringSince+replaceDelay)
+	}
+	return m.now-since < m.joinDelay()
 }
 
 // joinDelay returns how long a vacancy must have lasted before this instance
--- a/pkg/state/failover/peermessages.go
+++ b/pkg/state/failover/peermessages.go
@@ -68,8 +68,8 @@
 // lost it. It also serves as heartbeat.
 type Observed struct {
 	Groups []Observation
-	// CutOff is true while the sender cannot renew its permits: neither the
-	// table nor a reader has confirmed the head row for long.
+	// CutOff is true while the sender gets no answer of the table, neither
+	// itself nor through a peer.
 	CutOff bool
 }
 
--- a/pkg/state/failover/permit.go
+++ b/pkg/state/failover/permit.go
@@ -65,7 +65,6 @@
 // renewPermits renews the permits of all open groups. at is a time at which
 // the newest known row was the current one.
 func (m *Machine) renewPermits(at time.Duration) {
-	m.confirmedAt = max(m.confirmedAt, at)
 	m.headConfirmation = headConfirmation{version: m.head.Version, at: max(at, m.headConfirmedAt())}
 	if !m.isPermitHolder() {
 		return
@@ -75,11 +74,13 @@
 	}
 }
 
-// isCutOff reports whether this instance cannot renew its permits, so that the
-// groups that it serves are better served by others.
+// isCutOff reports whether this instance has had no answer of the table for most
+// of a permit's lifetime, so that the groups that it serves are better served by
+// others. Promises of the members may still renew its permits, but it could not
+// replace a primary.
 func (m *Machine) isCutOff() bool {
 	const numerator, denominator = 3, 4
-	return m.membership.registered && m.now-max(m.confirmedAt, m.membership.registeredAt) > m.cfg.PermitLifetime*numerator/denominator
+	return m.membership.registered && m.now-max(m.reads.lastOKStart, m.membership.registeredAt) > m.cfg.PermitLifetime*numerator/denominator
 }
 
 func (m *Machine) renewPermit(g *group, from time.Duration) {
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -62,16 +62,21 @@
 }
 
 // sendStopWrites asks the members that have not confirmed yet to give up their
-// permits.
+// permits. One that does not confirm may be cut off from the table and not know
+// this instance, so that it cannot answer: it gets the head row too.
 func (m *Machine) sendStopWrites(g *group, gh model.GroupHead) {
 	if g.seal.holdersStopped || g.seal.stopSentAt != 0 && m.now-g.seal.stopSentAt < m.cfg.ResendInterval {
 		return
 	}
+	resent := g.seal.stopSentAt != 0
 	g.seal.stopSentAt = m.now
 	for _, member := range m.head.Members {
 		if g.seal.confirmed[member.ID] {
 			continue
 		}
+		if resent {
+			m.send(member.ID, HeadSent{Head: m.head})
+		}
 		m.send(member.ID, StopWrites{
 			Group:       g.id,
 			Generation:  gh.Generation,
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -71,7 +71,7 @@
 type MemberView struct {
 	Member model.Member
 	State  members.State
-	// CutOff is true while the member cannot renew its permits.
+	// CutOff is true while the member gets no answer of the table.
 	CutOff bool
 }
 
