--- a/pkg/protocol/statement/statement.go
+++ b/pkg/protocol/statement/statement.go
@@ -54,7 +54,9 @@
 type Start struct {
 	// Database is the database that the caller requests.
 	Database string
-	Caller   string
+	// Key is the digest of the access key with which the caller identifies its
+	// account.
+	Key model.KeyDigest
 }
 
 // State is the state of a session between two statements.
@@ -169,13 +171,15 @@
 	FailMalformed
 	// FailTooLarge means that the message exceeds the limit.
 	FailTooLarge
+	// FailDenied is definite: the caller's access key is not valid.
+	FailDenied
 )
 
 // String returns the name of the code in logs and metrics.
 func (c FailureCode) String() string {
 	names := [...]string{
 		"overloaded", "aborted", "read only", "timeout", "unknown outcome", "statement failed",
-		"not prepared", "no database", "malformed", "too large",
+		"not prepared", "no database", "malformed", "too large", "denied",
 	}
 	return names[c]
 }
--- a/pkg/state/catalog/catalog.go
+++ b/pkg/state/catalog/catalog.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -54,6 +55,8 @@
 	// MaxAge is the maximum age of writes of other sessions that reads may
 	// miss. It is zero with Strong.
 	MaxAge time.Duration
+	// Public is set if the route needs no access key.
+	Public bool
 }
 
 // DefaultTimeout is the timeout of a statement whose route sets none.
@@ -87,6 +90,13 @@
 	// Groups is ordered by ID.
 	Groups []Group
 	Limits Limits
+	// Authenticates is set if callers need an access key, except for public
+	// routes. Callers holds the accounts, ordered by name.
+	Authenticates bool
+	Callers       []Caller
+
+	// keys is ordered by digest.
+	keys []callerKey
 }
 
 // New returns a catalog with sorted copies of routes and groups.
@@ -97,6 +107,29 @@
 	return catalog
 }
 
+// WithCallers returns a copy of the catalog whose routes need a key of one of
+// the accounts, unless they are public. A key that two accounts hold belongs to
+// the first one by name.
+func (c *Catalog) WithCallers(callers []Caller) *Catalog {
+	authenticated := *c
+	authenticated.Authenticates = true
+	authenticated.setCallers(callers)
+	return &authenticated
+}
+
+// UnmarshalJSON decodes a catalog that another instance has sent.
+func (c *Catalog) UnmarshalJSON(data []byte) error {
+	type plain Catalog
+	if err := json.Unmarshal(data, (*plain)(c)); err != nil {
+		return err
+	}
+	c.indexKeys()
+	return nil
+}
+
+// NeedsKey reports whether the sessions of a route need an access key.
+func (c *Catalog) NeedsKey(route *Route) bool { return c.Authenticates && !route.Public }
+
 // Route returns the route for a database.
 func (c *Catalog) Route(database string) (*Route, bool) {
 	at, found := slices.BinarySearchFunc(c.Routes, database, func(r Route, name string) int {
--- a/pkg/state/dispatch/unit.go
+++ b/pkg/state/dispatch/unit.go
@@ -13,6 +13,10 @@
 type Unit struct {
 	// Route is the name of the unit's route. Latencies are averaged by route.
 	Route string
+	// Caller is the client account of the unit; empty if there is none.
+	Caller model.CallerName
+	// Session identifies the session of the unit among those of its caller.
+	Session uint64
 	// NeedsPrimary is set for writes and for reads of the latest data.
 	NeedsPrimary bool
 	// Priority orders the queue; 0 comes first.
@@ -38,6 +42,9 @@
 	// LaggingReplicas holds the replicas that had not yet applied the required
 	// position in earlier attempts.
 	LaggingReplicas []model.UpstreamID
+	// IdleAt holds the upstreams to which a connection of the caller is idle, so
+	// that none has to be opened there.
+	IdleAt []model.UpstreamID
 
 	// sequence keeps units of equal priority and deadline in the order in which
 	// they were queued.
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -51,6 +51,9 @@
 // GetOptions says which connection is wanted.
 type GetOptions struct {
 	Upstream model.UpstreamID
+	// Caller is the client account that the connection is for; empty if there is
+	// none.
+	Caller model.CallerName
 	// CheckAlive requests that a connection which has been idle for long must
 	// answer the upstream's reset before it is used.
 	CheckAlive bool
--- a/pkg/transport/textforward/forwarder.go
+++ b/pkg/transport/textforward/forwarder.go
@@ -90,8 +90,8 @@
 func (f *Forwarder) SetOrders(orders Orders) { f.orders.Store(&orders) }
 
 // Servers returns the servers of a group in the order in which they are to be
-// used. Those that failed recently come last.
-func (f *Forwarder) Servers(group model.GroupID) []model.InstanceID {
+// used for a unit of the caller. Those that failed recently come last.
+func (f *Forwarder) Servers(group model.GroupID, _ model.CallerName) []model.InstanceID {
 	orders := f.orders.Load()
 	if orders == nil {
 		return nil
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -86,6 +86,12 @@
 		TargetMs:    uint64(f.route.Target.Milliseconds()),
 		Priority:    int32(f.route.Priority),
 		MaxAgeMs:    uint64(f.route.MaxAge.Milliseconds()),
+
+		Configuration: uint64(s.server.config.Dispatch.Catalog().Version),
+	}
+	if s.caller != "" {
+		open.Caller = string(s.caller)
+		open.KeyDigest = s.start.Key[:]
 	}
 	if !s.mark.IsZero() {
 		open.MarkTerm = s.mark.Term
@@ -115,7 +121,7 @@
 // statement is sent. sent tells, if no server answered, whether the statement
 // may have run.
 func (f *forwarding) beginOnce(stmt boundStatement, open *meshpb.UnitOpen, mayRepeat bool) (stream *textforward.Stream, reply *meshpb.UnitReply, sent bool) {
-	for _, server := range f.forwarder().Servers(f.route.Group) {
+	for _, server := range f.forwarder().Servers(f.route.Group, f.session.caller) {
 		if f.isPastDeadline() {
 			break
 		}
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -41,7 +41,10 @@
 	input  *lines.InputProbe
 	out    []byte
 
-	start    statement.Start
+	start statement.Start
+	// caller is the client account that the session's access key identifies; empty
+	// if the route needs no key.
+	caller   model.CallerName
 	values   map[string]string
 	prepared map[string]prepared
 	state    statement.State
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -58,6 +58,7 @@
 	u := &unit{session: s, route: route}
 	u.spec = dispatch.Unit{
 		Route:        route.Name,
+		Caller:       s.caller,
 		NeedsPrimary: needsPrimary || route.Consistency == catalog.Strong,
 		Priority:     route.Priority,
 		MaxAge:       route.MaxAge,
@@ -124,7 +125,7 @@
 // connect obtains a connection for the placement.
 func (u *unit) connect(checkAlive bool) bool {
 	conn, opened, err := u.pools().Get(u.session.server.ctx, textback.GetOptions{
-		Upstream: u.placement.Upstream, CheckAlive: checkAlive,
+		Upstream: u.placement.Upstream, Caller: u.spec.Caller, CheckAlive: checkAlive,
 	})
 	if err != nil {
 		u.connectFailed(err)
