Connections by caller: pools, choice of the connection to close, opening time

Cause: all callers shared the connections of the machine's name, while an upstream binds a connection to the account that it was opened for. Change: a pooled connection keeps its caller for life. At the bound the idle connection with the least expected reuse is closed. A read's expected answer includes the opening of a connection, and no caller holds more than half of the connections. A pool counts its own connections, so that one returned after its upstream was removed and added again no longer lowers the new count.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -291,7 +291,10 @@
 
 // Connected records that a connection was opened.
 func (d *Dispatcher) Connected(id model.GroupID, placement *dispatch.Placement) {
-	d.update(id, func(now time.Duration, g *group) { g.decisions.Connected(now, placement.Upstream) })
+	d.update(id, func(now time.Duration, g *group) {
+		g.decisions.Connected(now, placement.Upstream)
+		g.decisions.Opened(placement, now-placement.PlacedAt)
+	})
 }
 
 // ConnectRefused records that an upstream refused a connection.
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -25,6 +25,7 @@
 func (g *Group) Release(now time.Duration, placement *Placement) {
 	if held := g.upstream(placement.Upstream); held != nil && held.inUse > 0 {
 		held.inUse--
+		held.countHeld(placement.caller, -1)
 		held.endStatement(placement)
 		held.holdTime += time.Duration(averageWeight * float64(now-placement.PlacedAt-held.holdTime))
 	}
--- a/pkg/state/dispatch/place.go
+++ b/pkg/state/dispatch/place.go
@@ -10,17 +10,17 @@
 // upstreams that may run it has one free.
 func (g *Group) place(now time.Duration, unit *Unit) *Placement {
 	if unit.NeedsPrimary {
-		return g.placeAtPrimary(now)
+		return g.placeAtPrimary(now, unit)
 	}
 	return g.placeRead(now, unit)
 }
 
-func (g *Group) placeAtPrimary(now time.Duration) *Placement {
+func (g *Group) placeAtPrimary(now time.Duration, unit *Unit) *Placement {
 	primary := g.upstream(g.leadership.Primary)
-	if primary == nil || !g.leadership.acceptsWork(now) || !primary.hasRoom(now) || !primary.isReachable(now) {
+	if primary == nil || !g.leadership.acceptsWork(now) || !primary.hasRoomFor(now, unit.Caller) || !primary.isReachable(now) {
 		return nil
 	}
-	return g.reserve(now, primary, model.Position{})
+	return g.reserve(now, unit, primary, model.Position{})
 }
 
 // placeRead reserves a connection at the upstream with the least expected
@@ -56,7 +56,7 @@
 	} else {
 		g.tracker.QuerySent(best.spec.ID, now)
 	}
-	return g.reserve(now, best, position)
+	return g.reserve(now, unit, best, position)
 }
 
 // readCost estimates the latency of a read at an upstream, apart from the time
@@ -64,10 +64,10 @@
 // get the read.
 func (g *Group) readCost(now time.Duration, unit *Unit, candidate *upstream, latency time.Duration) (time.Duration, bool) {
 	id := candidate.spec.ID
-	if !candidate.hasRoom(now) || unit.hasFailedAt(id) || !candidate.isReachable(now) {
+	if !candidate.hasRoomFor(now, unit.Caller) || unit.hasFailedAt(id) || !candidate.isReachable(now) {
 		return 0, false
 	}
-	cost := candidate.statementCost(now, latency)
+	cost := candidate.statementCost(now, latency) + candidate.openingCost(unit)
 	if candidate.spec.DataCentre != g.localDataCentre {
 		cost += remoteRoundTrip
 	}
@@ -82,11 +82,13 @@
 
 // reserve counts a connection of the upstream as used and returns the placement
 // that holds it.
-func (g *Group) reserve(now time.Duration, chosen *upstream, required model.Position) *Placement {
+func (g *Group) reserve(now time.Duration, unit *Unit, chosen *upstream, required model.Position) *Placement {
 	chosen.inUse++
 	chosen.active++
+	chosen.countHeld(unit.Caller, 1)
 	return &Placement{
 		active:           true,
+		caller:           unit.Caller,
 		Upstream:         chosen.spec.ID,
 		Primary:          chosen.spec.ID == g.leadership.Primary,
 		Generation:       g.leadership.Generation,
@@ -94,3 +96,10 @@
 		PlacedAt:         now,
 	}
 }
+
+// Opened records the time that it took to open a connection for a placement.
+func (g *Group) Opened(placement *Placement, took time.Duration) {
+	if target := g.upstream(placement.Upstream); target != nil {
+		target.recordOpening(took)
+	}
+}
--- a/pkg/state/dispatch/unit.go
+++ b/pkg/state/dispatch/unit.go
@@ -64,6 +64,8 @@
 	RequiredPosition model.Position
 	// PlacedAt is when the unit was placed.
 	PlacedAt time.Duration
+	// caller is the caller of the unit.
+	caller model.CallerName
 	// active is set while the unit has a statement at the upstream, or is about
 	// to send its first. It is false while a transaction waits for its caller.
 	active bool
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -1,12 +1,16 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/model"
 )
 
 const (
+	// initialOpeningTime is the assumed time to open a connection before the first
+	// one. The databases of the platform take 12 ms.
+	initialOpeningTime = 12 * time.Millisecond
 	// suspectAfter is the time without an answer, in addition to the peak
 	// latency, after which an upstream with outstanding statements is suspected.
 	suspectAfter = 250 * time.Millisecond
@@ -60,6 +64,10 @@
 	// unit is not a transaction that waits for its caller.
 	inUse  int
 	active int
+	// heldBy counts the connections that the units of each caller hold.
+	heldBy map[model.CallerName]int
+	// openingTime is the average time to open a connection.
+	openingTime time.Duration
 	// slowness is the moving average of the ratio of a statement's latency to
 	// the average of its route at all upstreams, as of slownessAt.
 	slowness   float64
@@ -96,7 +104,10 @@
 }
 
 func newUpstream(spec UpstreamSpec) *upstream {
-	return &upstream{spec: spec, slowness: 1, holdTime: initialLatency, averageLatency: initialLatency}
+	return &upstream{
+		spec: spec, slowness: 1, holdTime: initialLatency, averageLatency: initialLatency,
+		heldBy: make(map[model.CallerName]int), openingTime: initialOpeningTime,
+	}
 }
 
 // limit returns the number of connections that this instance may use now.
@@ -111,6 +122,37 @@
 	return u.inUse < u.limit(now) && u.active < u.spec.MaxOutstanding
 }
 
+// hasRoomFor is hasRoom for a unit of the caller, which may hold at most half of
+// the connections, so that its idle transactions leave some to the others.
+func (u *upstream) hasRoomFor(now time.Duration, caller model.CallerName) bool {
+	return u.hasRoom(now) && (caller == "" || u.heldBy[caller] < max(1, u.limit(now)/2))
+}
+
+// countHeld adds change to the connections that units of the caller hold.
+func (u *upstream) countHeld(caller model.CallerName, change int) {
+	if caller == "" {
+		return
+	}
+	u.heldBy[caller] += change
+	if u.heldBy[caller] <= 0 {
+		delete(u.heldBy, caller)
+	}
+}
+
+// openingCost estimates the time to open a connection for the unit; zero if one
+// is idle. Units without a caller share connections, so that one is rarely opened.
+func (u *upstream) openingCost(unit *Unit) time.Duration {
+	if unit.Caller == "" || slices.Contains(unit.IdleAt, u.spec.ID) {
+		return 0
+	}
+	return u.openingTime
+}
+
+// recordOpening records the time that it took to open a connection.
+func (u *upstream) recordOpening(took time.Duration) {
+	u.openingTime += time.Duration(averageWeight * float64(took-u.openingTime))
+}
+
 // queueWait estimates the time until the given number of units have left the
 // queue for this upstream.
 func (u *upstream) queueWait(now time.Duration, units int) time.Duration {
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -14,12 +14,14 @@
 
 // Metrics of upstreams.
 var (
-	UpstreamOpened      = counter("gypsumdock_upstream_connections_opened_total", "Connections opened to upstreams.", "upstream")
-	UpstreamClosed      = counter("gypsumdock_upstream_connections_closed_total", "Connections to upstreams closed.", "upstream")
-	UpstreamConnections = gauge("gypsumdock_upstream_connections", "Open connections to upstreams.", "upstream")
-	UpstreamGrant       = gauge("gypsumdock_upstream_grant", "Connections that this instance may hold to the upstream.", "upstream")
-	UpstreamLag         = gauge("gypsumdock_upstream_lag_seconds", "Upper bound of a replica's lag in seconds.", "upstream")
-	UpstreamSeconds     = histogram("gypsumdock_upstream_seconds", "Time that an upstream took for a unit of work.", "upstream")
+	UpstreamOpened          = counter("gypsumdock_upstream_connections_opened_total", "Connections opened to upstreams.", "upstream")
+	UpstreamClosed          = counter("gypsumdock_upstream_connections_closed_total", "Connections to upstreams closed.", "upstream")
+	UpstreamOpenedNoneIdle  = counter("gypsumdock_upstream_connections_opened_none_idle_total", "Connections opened for a unit of work because none of its caller was idle; a subset of those opened.", "upstream")
+	UpstreamClosedForCaller = counter("gypsumdock_upstream_connections_closed_for_caller_total", "Idle connections closed at the bound to open one for another caller; a subset of those closed.", "upstream")
+	UpstreamConnections     = gauge("gypsumdock_upstream_connections", "Open connections to upstreams.", "upstream")
+	UpstreamGrant           = gauge("gypsumdock_upstream_grant", "Connections that this instance may hold to the upstream.", "upstream")
+	UpstreamLag             = gauge("gypsumdock_upstream_lag_seconds", "Upper bound of a replica's lag in seconds.", "upstream")
+	UpstreamSeconds         = histogram("gypsumdock_upstream_seconds", "Time that an upstream took for a unit of work.", "upstream")
 )
 
 // Metrics of the mesh.
--- a/pkg/transport/textback/conn.go
+++ b/pkg/transport/textback/conn.go
@@ -11,6 +11,8 @@
 
 	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/reuse"
 	"gypsumdock/pkg/transport/lines"
 )
 
@@ -22,6 +24,14 @@
 	maxPrepared = 200
 )
 
+const (
+	// checkAliveAfter is the idle time after which a connection must answer
+	// before work is sent on it that must not be retried.
+	checkAliveAfter = time.Second
+	// checkAliveTimeout bounds the wait for that answer.
+	checkAliveTimeout = 150 * time.Millisecond
+)
+
 // Errors of connections.
 var (
 	// ErrBroken means that the connection failed or that the upstream broke the
@@ -41,11 +51,18 @@
 // Conn is a connection to an upstream. Only one goroutine may use it at a time.
 type Conn struct {
 	upstream catalog.Upstream
-	codec    statement.UpstreamCodec
-	socket   net.Conn
-	reader   *bufio.Reader
-	input    *lines.InputProbe
-	out      []byte
+	// caller is the client account that the connection was opened for, the only
+	// one that it serves; empty if there is none.
+	caller model.CallerName
+	// pool is the pool that counts the connection as open; nil if none does.
+	pool *pool
+	// use is the caller's use of the upstream; nil if pool is nil.
+	use    *reuse.Use
+	codec  statement.UpstreamCodec
+	socket net.Conn
+	reader *bufio.Reader
+	input  *lines.InputProbe
+	out    []byte
 	// values holds the session values that are set on the connection.
 	values map[string]string
 	// prepared holds the names of the statements that are prepared on it.
@@ -205,3 +222,15 @@
 }
 
 func (c *Conn) close() { _ = c.socket.Close() }
+
+// isAlive reports whether the upstream still answers on the connection. A
+// connection that was used recently is not asked.
+func (c *Conn) isAlive() bool {
+	if time.Since(c.usedAt) < checkAliveAfter {
+		return true
+	}
+	clear(c.values)
+	clear(c.prepared)
+	answer, err := c.Exchange(c.codec.AppendCommand(nil, statement.CommandReset, 0), time.Now().Add(checkAliveTimeout))
+	return err == nil && answer.Reason == statement.Succeeded
+}
--- a/pkg/transport/textback/prober.go
+++ b/pkg/transport/textback/prober.go
@@ -48,7 +48,7 @@
 	if sample, err := p.probeIdle(ctx, upstream); err == nil || errors.Is(err, region.ErrBusy) {
 		return sample, err
 	}
-	conn, err := p.pools.Dial(ctx, upstream)
+	conn, err := p.pools.dial(ctx, upstream, "")
 	if IsTooManyConnections(err) {
 		return region.Sample{}, region.ErrTooManyConnections
 	}
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -100,6 +100,7 @@
 func (u *unit) acquire(checkAlive bool) bool {
 	for u.attempts < maxAttempts && !u.isPastDeadline() {
 		u.attempts++
+		u.findIdle()
 		placement, refusal := u.dispatch().Acquire(u.session.server.ctx, u.route.Group, &u.spec)
 		if refusal != nil {
 			u.refusal = refusal
@@ -116,6 +117,14 @@
 	return false
 }
 
+// findIdle tells the dispatcher where a connection of the caller is idle. It
+// matters only for reads, which have a choice.
+func (u *unit) findIdle() {
+	if u.spec.Caller != "" && !u.spec.NeedsPrimary {
+		u.spec.IdleAt = u.pools().IdleAt(u.spec.IdleAt[:0], u.route.Group, u.spec.Caller)
+	}
+}
+
 // lacksPermit reports whether the unit was refused only because this instance
 // holds no permit, so that another one may execute it.
 func (u *unit) lacksPermit() bool {
