Home servers for small callers, and the count of connections opened

Cause: the units of a caller reached each of four servers, and each opened a connection of that caller. Change: a caller below a tenth of all configured rates has a home server, chosen by rendezvous hash of caller and group, the same at all instances.

--- a/pkg/coordination/dispatcher/topology.go
+++ b/pkg/coordination/dispatcher/topology.go
@@ -17,6 +17,8 @@
 	// Servers holds, for each group to which a route leads, the members that
 	// serve it.
 	Servers map[model.GroupID][]model.Member
+	// Callers holds the client accounts.
+	Callers []catalog.Caller
 }
 
 func topology(snapshot *region.Snapshot) Topology {
@@ -24,6 +26,7 @@
 		Upstreams:   snapshot.Upstreams,
 		Connections: make(map[model.UpstreamID]int, len(snapshot.Upstreams)),
 		Servers:     make(map[model.GroupID][]model.Member, len(snapshot.Serving)),
+		Callers:     snapshot.Catalog.Callers,
 	}
 	for id, upstream := range snapshot.Upstreams {
 		result.Connections[id] = connections(snapshot, upstream.Group)
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -173,9 +173,16 @@
 	h.pools.SetUpstreams(topology.Upstreams, topology.Connections)
 	orders := make(textforward.Orders, len(topology.Servers))
 	for id, servers := range topology.Servers {
-		orders[id] = serving.ForwardOrder(h.self, id, servers)
+		orders[id] = serving.ForwardOrder(h.self, id, servers, "", false)
 	}
 	h.forward.SetOrders(orders)
+	withHome := serving.CallersWithHome(topology.Callers)
+	h.forward.SetCallerOrder(func(group model.GroupID, caller model.CallerName) ([]model.InstanceID, bool) {
+		if !withHome[caller] {
+			return nil, false
+		}
+		return serving.ForwardOrder(h.self, group, topology.Servers[group], caller, true), true
+	})
 }
 
 // loopConfig returns the configuration of the control loop.
--- a/pkg/state/serving/serving.go
+++ b/pkg/state/serving/serving.go
@@ -94,28 +94,6 @@
 	}
 }
 
-// ForwardOrder returns the servers of a group in the order in which an instance
-// forwards units of work to them: first those of its own data centre. Among the
-// others the order differs from instance to instance, which spreads the load.
-func ForwardOrder(self model.Member, group model.GroupID, servers []model.Member) []model.InstanceID {
-	ordered := slices.Clone(servers)
-	hash := func(id model.InstanceID) uint64 {
-		return xxhash.Sum64String(string(group) + "/" + string(self.ID) + "/" + string(id))
-	}
-	slices.SortFunc(ordered, func(a, b model.Member) int {
-		return cmp.Or(
-			compareBool(a.DataCentre != self.DataCentre, b.DataCentre != self.DataCentre),
-			cmp.Compare(hash(a.ID), hash(b.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	ids := make([]model.InstanceID, 0, len(ordered))
-	for _, server := range ordered {
-		ids = append(ids, server.ID)
-	}
-	return ids
-}
-
 // ConnectionsPerServer returns the number of connections to an upstream that
 // each of its servers may open. One for each server, and at least
 // reservedConnections, stay free; the result is at least 1.
--- a/pkg/transport/textback/textback_test.go
+++ b/pkg/transport/textback/textback_test.go
@@ -24,6 +24,8 @@
 // longWait bounds waits that end soon unless the code under test hangs.
 const longWait = 20 * time.Second
 
+func farDeadline() time.Time { return time.Now().Add(longWait) }
+
 func start(limit int64) *textbacktest.Database {
 	d, err := textbacktest.Start(limit)
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/transport/textback/textbacktest/database.go
+++ b/pkg/transport/textback/textbacktest/database.go
@@ -23,6 +23,7 @@
 	// answer returns the lines of an answer for a statement's text.
 	answer     func(text string) []string
 	statements []string
+	starts     []string
 }
 
 // Start starts a database that accepts limit connections at once. Close ends
@@ -76,6 +77,13 @@
 	return catalog.Upstream{ID: "u", Group: "g", Address: d.listener.Addr().String(), Slots: 2}
 }
 
+// Starts returns the lines with which connections were opened.
+func (d *Database) Starts() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.starts...)
+}
+
 func (d *Database) accept() {
 	for {
 		socket, err := d.listener.Accept()
@@ -117,6 +125,9 @@
 func (d *Database) answerTo(line string) []string {
 	rest, isQuery := strings.CutPrefix(line, "QUERY ")
 	if !isQuery {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.starts = append(d.starts, line)
 		return []string{"READY I 1.7"}
 	}
 	_, text, _ := strings.Cut(rest, " ")
--- a/pkg/transport/textforward/forwarder.go
+++ b/pkg/transport/textforward/forwarder.go
@@ -57,6 +57,7 @@
 	logger *slog.Logger
 	node   Node
 	orders atomic.Pointer[Orders]
+	homes  atomic.Pointer[homes]
 	// startedAt is when the forwarder was created, and heardAt when the newest
 	// message of any server arrived.
 	startedAt time.Time
@@ -91,13 +92,11 @@
 
 // Servers returns the servers of a group in the order in which they are to be
 // used for a unit of the caller. Those that failed recently come last.
-func (f *Forwarder) Servers(group model.GroupID, _ model.CallerName) []model.InstanceID {
-	orders := f.orders.Load()
-	if orders == nil {
-		return nil
-	}
-	var usable, avoided []model.InstanceID
-	for _, id := range (*orders)[group] {
+func (f *Forwarder) Servers(group model.GroupID, caller model.CallerName) []model.InstanceID {
+	ordered := f.order(group, caller)
+	usable := make([]model.InstanceID, 0, len(ordered))
+	var avoided []model.InstanceID
+	for _, id := range ordered {
 		if f.isAvoided(id) {
 			avoided = append(avoided, id)
 			continue
