--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -177,7 +177,7 @@
 	}
 	h.forward.SetOrders(orders)
 	withHome := serving.CallersWithHome(topology.Callers)
-	h.forward.SetCallerOrder(func(group model.GroupID, caller model.CallerName) ([]model.InstanceID, bool) {
+	h.forward.SetCallerOrder(h.self.ID, func(group model.GroupID, caller model.CallerName) ([]model.InstanceID, bool) {
 		if !withHome[caller] {
 			return nil, false
 		}
--- a/pkg/state/reuse/reuse.go
+++ b/pkg/state/reuse/reuse.go
@@ -12,13 +12,13 @@
 
 const (
 	// rateTime is the time constant of the decaying average of a caller's rate.
-	// Values from 20 s to 120 s gave the same number of openings within 4%; see
+	// Values from 20 s to 120 s gave the same number of openings within 10%; see
 	// docs/design/17-connections-by-account.md.
 	rateTime = 60 * time.Second
 	// holdTime is the assumed time for which a unit of work holds a connection.
 	// The product with the rate is the share of the time in which a caller needs
-	// one more connection than before. 200 ms kept too many connections for
-	// frequent callers, and gave up to 12% more openings.
+	// one more connection than before. With 200 ms frequent callers kept more
+	// connections, and 10% more were opened at 300 units a second.
 	holdTime = 50 * time.Millisecond
 	// maxSharePerConnection bounds that product, so that each further idle
 	// connection of a caller is expected to be used less.
--- a/pkg/transport/textforward/homes.go
+++ b/pkg/transport/textforward/homes.go
@@ -17,6 +17,7 @@
 
 // homes holds the orders by caller that were computed for a topology.
 type homes struct {
+	self  model.InstanceID
 	order CallerOrder
 
 	mu     sync.Mutex
@@ -29,9 +30,19 @@
 }
 
 // SetCallerOrder replaces the function that orders the servers for a caller with
-// a home.
-func (f *Forwarder) SetCallerOrder(order CallerOrder) {
-	f.homes.Store(&homes{order: order, cached: make(map[homeKey][]model.InstanceID)})
+// a home. self is this instance.
+func (f *Forwarder) SetCallerOrder(self model.InstanceID, order CallerOrder) {
+	f.homes.Store(&homes{self: self, order: order, cached: make(map[homeKey][]model.InstanceID)})
+}
+
+// Home returns the home of a caller if it has one, which is another instance that
+// has not failed recently.
+func (f *Forwarder) Home(group model.GroupID, caller model.CallerName) (model.InstanceID, bool) {
+	ordered := f.homeOrder(group, caller)
+	if len(ordered) == 0 || ordered[0] == f.homes.Load().self || f.isAvoided(ordered[0]) {
+		return "", false
+	}
+	return ordered[0], true
 }
 
 // order returns the servers of a group in the order of preference, which the
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -108,7 +108,7 @@
 	waitUntil := time.Now().Add(serverWait)
 	for {
 		stream, reply, sent := f.beginOnce(stmt, open, mayRepeat)
-		if sent || f.isPastDeadline() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
+		if sent || f.isPastDeadline() || f.servesItself() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
 			return stream, reply, sent
 		}
 		sleep(f.session.server.ctx, serverRetryInterval)
@@ -121,7 +121,7 @@
 // statement is sent. sent tells, if no server answered, whether the statement
 // may have run.
 func (f *forwarding) beginOnce(stmt boundStatement, open *meshpb.UnitOpen, mayRepeat bool) (stream *textforward.Stream, reply *meshpb.UnitReply, sent bool) {
-	for _, server := range f.forwarder().Servers(f.route.Group, f.session.caller) {
+	for _, server := range f.servers() {
 		if f.isPastDeadline() {
 			break
 		}
@@ -192,6 +192,8 @@
 	case sent:
 		f.recorder().forwardFailed(f, stmt.request, statement.FailUnknown, "may_have_run", "no answer from the server")
 		s.out = s.codec().AppendFailure(s.out, statement.Failure{Code: statement.FailUnknown, Text: "no answer from the server"})
+	case f.servesItself():
+		runSingle(s, route, stmt, arrived)
 	default:
 		f.refuse(stmt.request)
 	}
--- a/pkg/transport/textfront/forwardtransaction.go
+++ b/pkg/transport/textfront/forwardtransaction.go
@@ -63,6 +63,11 @@
 	case lost:
 		tx.abort(stmt.request, "connection lost")
 	case reply == nil:
+		if local, found := tx.localTransaction(); found {
+			s.tx = local
+			local.run(stmt, arrived)
+			return
+		}
 		tx.refuse(stmt.request)
 		s.failTransaction()
 	default:
@@ -101,6 +106,10 @@
 		tx.recorder().forwardFailed(tx.forwarding, request, statement.FailAborted, "not_run", "no answer to the commit")
 		s.out = s.codec().AppendFailure(s.out, statement.Failure{Code: statement.FailAborted, Text: "no answer to the commit"})
 	default:
+		if local, found := tx.localTransaction(); found {
+			local.commit(request, arrived)
+			return
+		}
 		tx.refuse(request)
 	}
 }
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -391,12 +391,6 @@
 	return s.server.config.Dispatch.Catalog().Route(s.start.Database)
 }
 
-// mustForward reports whether another instance has to execute a unit of the
-// route. A unit that a peer has forwarded stays here.
-func (s *session) mustForward(route *catalog.Route) bool {
-	return s.forwarded == nil && !s.server.config.Dispatch.Serves(route.Group)
-}
-
 // failTransaction rolls back the transaction, if one is open, after a failure.
 func (s *session) failTransaction() {
 	if s.tx == nil {
