Tests that fail without the closing at the bound and the learnt opening time

Two mutations of the code survived: the bound kept only when a connection was returned, and an opening time that stayed at its first value. Both now fail.

--- a/pkg/state/dispatch/callers_test.go
+++ b/pkg/state/dispatch/callers_test.go
@@ -61,11 +61,12 @@
 
 	It("is learnt from the openings", func() {
 		group := newCallerGroup()
-		placement, _ := group.Submit(millis(10), readOf("a", remoteReplica))
+		Expect(place(group, readOf("a", remoteReplica))).To(Equal(remoteReplica))
 		// With one statement at the replica, another read costs half of the route's
 		// latency of 15 ms more there, which is less than an opening elsewhere.
+		placement, _ := group.Submit(millis(10), readOf("b", remoteReplica))
 		Expect(placement.Upstream).To(Equal(remoteReplica))
-		Expect(place(group, readOf("b", remoteReplica))).To(Equal(remoteReplica))
+		group.Release(millis(10), placement)
 		for range 100 {
 			for _, id := range []model.UpstreamID{primary, localReplica, remoteReplica} {
 				group.Opened(&dispatch.Placement{Upstream: id}, millis(1))
