--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -9,7 +9,7 @@
 
 const (
 	// initialOpeningTime is the assumed time to open a connection before the first
-	// one. The databases of the platform take 12 ms.
+	// one.
 	initialOpeningTime = 12 * time.Millisecond
 	// suspectAfter is the time without an answer, in addition to the peak
 	// latency, after which an upstream with outstanding statements is suspected.
--- a/pkg/state/reuse/reuse.go
+++ b/pkg/state/reuse/reuse.go
@@ -11,14 +11,12 @@
 )
 
 const (
-	// rateTime is the time constant of the decaying average of a caller's rate.
-	// Values from 20 s to 120 s gave the same number of openings within 10%; see
-	// docs/design/17-connections-by-account.md.
+	// rateTime is the time constant of the decaying average of a caller's rate. It
+	// spans several uses of a caller that sends a unit every ten seconds.
 	rateTime = 60 * time.Second
 	// holdTime is the assumed time for which a unit of work holds a connection.
 	// The product with the rate is the share of the time in which a caller needs
-	// one more connection than before. With 200 ms frequent callers kept more
-	// connections, and 10% more were opened at 300 units a second.
+	// one more connection than before.
 	holdTime = 50 * time.Millisecond
 	// maxSharePerConnection bounds that product, so that each further idle
 	// connection of a caller is expected to be used less.
