--- a/pkg/transport/textback/callers_test.go
+++ b/pkg/transport/textback/callers_test.go
@@ -109,7 +109,8 @@
 		b, _ := get(pools, "b")
 		Expect(use(pools, "c")).To(BeTrue())
 		for _, conn := range []*textback.Conn{a, b} {
-			Expect(conn.SetSessionValues(map[string]string{"tz": "utc"}, farDeadline())).To(Succeed())
+			conn.RequireValues(map[string]string{"tz": "utc"})
+			Expect(conn.Confirm(farDeadline())).To(Succeed())
 			pools.Put(conn, true)
 		}
 		Eventually(d.OpenConnections, longWait).Should(BeEquivalentTo(2))
--- a/pkg/transport/textback/setup_test.go
+++ b/pkg/transport/textback/setup_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,7 +17,6 @@
 		d    *textbacktest.Database
 		conn *textback.Conn
 	)
-	deadline := func() time.Time { return time.Now().Add(longWait) }
 	read := []byte("QUERY 1 READ k\r\n")
 
 	BeforeEach(func() {
@@ -29,7 +27,7 @@
 	})
 
 	exchange := func() *statement.Answer {
-		answer, err := conn.Exchange(read, deadline())
+		answer, err := conn.Exchange(read, farDeadline())
 		Expect(err).NotTo(HaveOccurred())
 		return answer
 	}
@@ -39,9 +37,9 @@
 	// those that are set.
 	DescribeTable("removes the values of the session before", func(values map[string]string) {
 		conn.RequireValues(map[string]string{"a": "1"})
-		Expect(conn.Confirm(deadline())).To(Succeed())
+		Expect(conn.Confirm(farDeadline())).To(Succeed())
 		conn.RequireValues(values)
-		Expect(conn.Confirm(deadline())).To(Succeed())
+		Expect(conn.Confirm(farDeadline())).To(Succeed())
 		exchange()
 		Expect(d.Statements()).To(Equal([]string{"SET a 1", "RESET", "READ k"}))
 	}, Entry("for an empty map", map[string]string{}), Entry("for none", nil))
@@ -55,7 +53,7 @@
 			return []string{"COMPLETE s", "READY I 1.7"}
 		})
 		conn.RequireValues(map[string]string{"a": "1"})
-		Expect(conn.Confirm(deadline())).To(MatchError(textback.ErrNotPrepared))
+		Expect(conn.Confirm(farDeadline())).To(MatchError(textback.ErrNotPrepared))
 		Expect(d.Statements()).To(Equal([]string{"SET a 1"}))
 	})
 
@@ -90,14 +88,14 @@
 	It("sends values and preparation with the begin, and fails if one is refused", func() {
 		conn.RequireValues(map[string]string{"a": "1"})
 		conn.RequirePrepared("s", true, "q")
-		answer, err := conn.ExchangeBegin([]byte("QUERY - BEGIN\r\n"), deadline())
+		answer, err := conn.ExchangeBegin([]byte("QUERY - BEGIN\r\n"), farDeadline())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Reason).To(Equal(statement.Succeeded))
 		Expect(d.Statements()).To(Equal([]string{"SET a 1", "PREPARE s READ q", "BEGIN"}))
 
 		d.SetAnswer(func(string) []string { return []string{"ERROR BUSY", "READY I -"} })
 		conn.RequireValues(map[string]string{"a": "2"})
-		_, err = conn.ExchangeBegin([]byte("QUERY - BEGIN\r\n"), deadline())
+		_, err = conn.ExchangeBegin([]byte("QUERY - BEGIN\r\n"), farDeadline())
 		Expect(err).To(MatchError(textback.ErrNotPrepared))
 	})
 })
