Choose the server of a forwarded unit by its expected answer time

An instance forwarded all units of a group to the first server of its order. A server that is slow, throttled or frozen without closing connections kept that place as long as it answered at all.

Another data centre is used for units that would miss their target. The serving side fills UnitReply.load.

--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -159,6 +159,29 @@
 		Level:   slog.LevelWarn,
 		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, or the request cannot be carried out.",
 	})
+	// ServerSlow is event 550.
+	ServerSlow = define(Event{
+		Number:  550,
+		Name:    "server avoided",
+		Level:   slog.LevelWarn,
+		Meaning: "A server answers clearly later than others, or has been silent for clearly longer than an answer takes. It gets single units as a trial. slowness is the ratio of its answer times to the average.",
+		Action:  "If it lasts: look at the processor use of that instance, and at the network to it.",
+	})
+	// ServerSlowEnded is event 551.
+	ServerSlowEnded = define(Event{
+		Number:  551,
+		Name:    "server no longer avoided",
+		Level:   slog.LevelInfo,
+		Meaning: "A server that was avoided has answered all its trials in time.",
+	})
+	// LoadRefused is event 554.
+	LoadRefused = define(Event{
+		Number:  554,
+		Name:    "load of a peer refused",
+		Level:   slog.LevelWarn,
+		Meaning: "A load that a peer reported cannot be: an unknown group or upstream, or an impossible count. It is ignored. At most one line a second.",
+		Action:  "If it lasts: look at whether the instances run the same version.",
+	})
 	// AcceptFailed is event 144.
 	AcceptFailed = define(Event{
 		Number:  144,
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -157,6 +157,7 @@
 	}
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
+		Busy: newProcessorUse(h.settings.Cores).Permille,
 	})
 	h.mesh = mesh.New(mesh.Config{
 		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front}, Logger: h.logger,
@@ -172,9 +173,14 @@
 func (h *Hosted) useTopology(topology dispatcher.Topology) {
 	h.pools.SetUpstreams(topology.Upstreams, topology.Connections)
 	orders := make(textforward.Orders, len(topology.Servers))
+	near := make(map[model.InstanceID]bool)
 	for id, servers := range topology.Servers {
+		for _, server := range servers {
+			near[server.ID] = server.DataCentre == h.self.DataCentre
+		}
 		orders[id] = serving.ForwardOrder(h.self, id, servers)
 	}
+	h.forward.SetNear(near)
 	h.forward.SetOrders(orders)
 }
 
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -22,6 +22,12 @@
 	UpstreamSeconds     = histogram("gypsumdock_upstream_seconds", "Time that an upstream took for a unit of work.", "upstream")
 )
 
+// Metrics of the balance between servers and upstreams.
+var (
+	ServersAvoided = gauge("gypsumdock_servers_avoided", "Servers that get trials only, since they answer clearly later than others.")
+	LoadsRefused   = counter("gypsumdock_loads_refused_total", "Loads reported by peers that were refused, by message: reply or report.", "message")
+)
+
 // Metrics of the mesh.
 var (
 	MeshPeers    = gauge("gypsumdock_mesh_peers", "Peers with an open mesh session.")
--- a/pkg/transport/textforward/forwarder.go
+++ b/pkg/transport/textforward/forwarder.go
@@ -61,6 +61,7 @@
 	// message of any server arrived.
 	startedAt time.Time
 	heardAt   atomic.Pointer[time.Time]
+	balancer  *balancer
 
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peer
@@ -80,7 +81,7 @@
 
 // New returns a forwarder. SetNode must be called before its first use.
 func New(logger *slog.Logger) *Forwarder {
-	return &Forwarder{logger: logger, startedAt: time.Now(), peers: make(map[model.InstanceID]*peer)}
+	return &Forwarder{logger: logger, startedAt: time.Now(), balancer: newBalancer(logger), peers: make(map[model.InstanceID]*peer)}
 }
 
 // SetNode sets the mesh.
--- a/pkg/transport/textforward/stream.go
+++ b/pkg/transport/textforward/stream.go
@@ -43,6 +43,13 @@
 // statement that can be sent to another one. An error is ErrLost; the stream
 // must be closed then.
 func (s *Stream) Exchange(request *meshpb.UnitRequest, deadline time.Time, giveUpEarly bool) (*meshpb.UnitReply, error) {
+	sentAt := s.forwarder.balancer.sent(s.server, request)
+	reply, err := s.exchange(request, deadline, giveUpEarly)
+	s.forwarder.balancer.answered(s.server, request, reply, sentAt)
+	return reply, err
+}
+
+func (s *Stream) exchange(request *meshpb.UnitRequest, deadline time.Time, giveUpEarly bool) (*meshpb.UnitReply, error) {
 	if err := WriteFrame(s.conn, request, deadline); err != nil {
 		return nil, s.failed(err)
 	}
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -101,6 +101,16 @@
 	return open
 }
 
+// need describes the unit to the forwarder.
+func (f *forwarding) need() textforward.Need {
+	need := textforward.Need{Group: f.route.Group, Caller: f.session.caller, Route: f.route.Name}
+	if f.route.Target > 0 {
+		age := f.session.server.config.Dispatch.Now() - f.arrived
+		need.TimeToTarget = max(f.route.Target-age, time.Millisecond)
+	}
+	return need
+}
+
 // begin sends the first statement of a unit to the servers of its group. If a
 // server is expected soon it does so in rounds, until one answers or serverWait
 // has passed.
@@ -121,7 +131,7 @@
 // statement is sent. sent tells, if no server answered, whether the statement
 // may have run.
 func (f *forwarding) beginOnce(stmt boundStatement, open *meshpb.UnitOpen, mayRepeat bool) (stream *textforward.Stream, reply *meshpb.UnitReply, sent bool) {
-	for _, server := range f.forwarder().Servers(f.route.Group, f.session.caller) {
+	for _, server := range f.forwarder().Ordered(f.need()) {
 		if f.isPastDeadline() {
 			break
 		}
--- a/pkg/transport/textfront/forward_test.go
+++ b/pkg/transport/textfront/forward_test.go
@@ -370,6 +370,7 @@
 		reply := exchange(valid())
 		Expect(reply.GetRefusal()).To(Equal(meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED))
 		Expect(string(reply.GetOutput())).To(HavePrefix("DATAROW v"))
+		Expect(reply.GetLoad()).NotTo(BeNil())
 	})
 
 	DescribeTable("refuses what it cannot carry out",
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -163,7 +163,7 @@
 	if s.noPermit {
 		return &meshpb.UnitReply{Refusal: meshpb.UnitRefusal_UNIT_REFUSAL_NO_PERMIT}
 	}
-	reply := &meshpb.UnitReply{Output: s.out, State: uint32(s.state)}
+	reply := &meshpb.UnitReply{Output: s.out, State: uint32(s.state), Load: s.server.load(s.forwarded.Group)}
 	if s.mark != before {
 		reply.MarkTerm = s.mark.Term
 		reply.MarkLsn = uint64(s.mark.LSN)
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -31,6 +31,9 @@
 	Forwarder *textforward.Forwarder
 	Logger    *slog.Logger
 	Stop      StopTimes
+	// Busy returns the part of its processor share that this instance uses, in
+	// thousandths; zero if it is unknown. It may be nil.
+	Busy func() uint32
 }
 
 // StopTimes holds the schedule of a graceful stop. All times count from its
