Avoid upstreams that fail clearly more than the others of their group

An upstream that failed 40% of its reads at the usual speed kept its share of them: only its latency counted, and its probe succeeded.

Each upstream's faults (failed reads, time-outs, missing answers, lost connections, busy although the slots are known to be free) are counted with a half-life of 4 s and compared with the least failing other upstream of the group. One that fails clearly more, by three standard deviations, gets only trials of the reads that others can take. Failed writes do not count, as they may violate a rule of the database. The latency of a failed statement no longer makes its upstream look fast.

Virtual time, 150 reads and 60 writes a second for 30 s, one of three upstreams fails 40%: 86 instead of 2787 attempts there, 32 instead of 1139 faults (go test ./pkg/state/dispatch -v -ginkgo.v -ginkgo.focus 'fails part').

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/dispatch"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
 )
 
 // Config holds the settings and dependencies of a Dispatcher.
@@ -23,6 +25,8 @@
 	Home model.DataCentre
 	// UseTopology is called whenever the topology changes.
 	UseTopology func(Topology)
+	// Logger may be nil.
+	Logger *slog.Logger
 }
 
 // Dispatcher implements region.Traffic for the control state, and places units of
@@ -229,6 +233,7 @@
 	now := d.Now()
 	change(now, g)
 	g.deliverDecisions(now)
+	d.logAvoidances(id, g.decisions.TakeAvoidances())
 }
 
 // Release ends a placement and frees its connection for other units.
@@ -251,13 +256,19 @@
 	SentAt time.Duration
 	// Position is the upstream's log position that came with the answer.
 	Position model.Position
+	// Fault says how the upstream failed the statement, if it did.
+	Fault dispatch.Fault
 }
 
 // Answered records the answer to a statement, with its latency and log position.
 // A primary's position counts only if the statement was sent under its permit.
 func (d *Dispatcher) Answered(id model.GroupID, placement *dispatch.Placement, answer Answer) {
 	d.update(id, func(now time.Duration, g *group) {
-		g.decisions.Answered(now, placement, answer.Route, now-answer.SentAt)
+		if answer.Fault == dispatch.FaultNone {
+			g.decisions.Answered(now, placement, answer.Route, now-answer.SentAt)
+		} else if g.decisions.AnswerFailed(now, placement, answer.Route, now-answer.SentAt, answer.Fault) {
+			telemetry.UpstreamFaults.With(string(placement.Upstream)).Inc()
+		}
 		if !placement.Primary {
 			g.decisions.Freshness().AddReplicaSample(placement.Upstream, answer.SentAt, answer.Position)
 			return
@@ -276,7 +287,7 @@
 
 // Abandoned records that the answer to a statement is no longer waited for.
 func (d *Dispatcher) Abandoned(id model.GroupID, placement *dispatch.Placement) {
-	d.update(id, func(_ time.Duration, g *group) { g.decisions.Abandoned(placement) })
+	d.update(id, func(now time.Duration, g *group) { g.decisions.AnswerMissed(now, placement) })
 }
 
 // ConnectionLost records that a statement's connection failed before the answer.
--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -174,6 +174,21 @@
 		Level:   slog.LevelInfo,
 		Meaning: "A server that was avoided has answered all its trials in time.",
 	})
+	// UpstreamFailing is event 552.
+	UpstreamFailing = define(Event{
+		Number:  552,
+		Name:    "upstream avoided",
+		Level:   slog.LevelWarn,
+		Meaning: "An upstream fails clearly more statements than the others of its group, whatever its probe says. It gets no reads that others can take, except single ones as a trial. ratio is the part that fails, others that of the best of the others.",
+		Action:  "Look at the log of that upstream. A primary stays in use for what needs it: consider a switch.",
+	})
+	// UpstreamFailingEnded is event 553.
+	UpstreamFailingEnded = define(Event{
+		Number:  553,
+		Name:    "upstream no longer avoided",
+		Level:   slog.LevelInfo,
+		Meaning: "An upstream that was avoided has answered all its trials.",
+	})
 	// LoadRefused is event 554.
 	LoadRefused = define(Event{
 		Number:  554,
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -150,7 +150,7 @@
 	h.store = platform.NewStore(h.settings.StoreAddress, storeTimeout)
 	h.pools = textback.New(wire, h.settings.Machine)
 	h.forward = textforward.New(h.logger)
-	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology})
+	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology, Logger: h.logger})
 	peers := meshpeer.New(meshCallTimeout)
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -87,6 +87,8 @@
 	waiting []*Unit
 	// lastSequence is the sequence number of the unit that was queued last.
 	lastSequence uint64
+	// avoidances holds the changes that TakeAvoidances has not returned yet.
+	avoidances []Avoidance
 }
 
 // NewGroup returns a group without upstreams, for an instance in the given data
--- a/pkg/state/dispatch/load_test.go
+++ b/pkg/state/dispatch/load_test.go
@@ -24,6 +24,8 @@
 	busySlots map[model.UpstreamID]int
 	// appliedPosition returns the log position that a replica has applied.
 	appliedPosition func(id model.UpstreamID, now time.Duration) model.Position
+	// faulty fails statements; nil if none fails.
+	faulty *faulty
 
 	jobs map[*dispatch.Unit]*job
 	// counts holds the number of units by result and route, such as "late read",
@@ -145,6 +147,9 @@
 func (s *simulation) finish(entry *job) {
 	id := entry.placement.Upstream
 	s.busySlots[id]--
+	if s.faulty.fails(s, entry) {
+		return
+	}
 	s.group.Answered(s.now, entry.placement, entry.unit.Route, s.now-entry.sentAt)
 	s.group.Release(s.now, entry.placement)
 	if entry.placement.Primary {
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -51,6 +51,9 @@
 	target.endStatement(placement)
 	target.outstanding = max(0, target.outstanding-1)
 	target.recordAnswer(now)
+	if placement.read {
+		g.recordResult(now, target, placement, false)
+	}
 	target.recordLatency(now, latency, g.averageLatency(route))
 	g.peakLatencies[route] = max(latency, time.Duration(routePeakDecay*float64(g.peakLatencies[route])))
 	g.averageLatencies[route] = g.averageLatency(route) + time.Duration(averageWeight*float64(latency-g.averageLatency(route)))
@@ -67,7 +70,7 @@
 // ConnectionLost records that the connection of a placement broke before a
 // statement was answered.
 func (g *Group) ConnectionLost(now time.Duration, placement *Placement) {
-	g.Abandoned(placement)
+	g.AnswerMissed(now, placement)
 	if target := g.upstream(placement.Upstream); target != nil {
 		target.recordLoss(now)
 	}
--- a/pkg/state/dispatch/place.go
+++ b/pkg/state/dispatch/place.go
@@ -29,6 +29,7 @@
 func (g *Group) placeRead(now time.Duration, unit *Unit) *Placement {
 	position, reachedAt, proven := unit.requiredPosition(g.tracker, now)
 	latency := g.averageLatency(unit.Route)
+	g.updateAvoided(now)
 	var best *upstream
 	var bestCost time.Duration
 	for _, candidate := range g.upstreams {
@@ -43,6 +44,9 @@
 			}
 			cost += ready
 		}
+		if cost, usable = g.avoidedReadCost(now, unit, candidate, cost); !usable {
+			continue
+		}
 		if best == nil || cost < bestCost {
 			best = candidate
 			bestCost = cost
@@ -56,7 +60,10 @@
 	} else {
 		g.tracker.QuerySent(best.spec.ID, now)
 	}
-	return g.reserve(now, best, position)
+	best.faults.trial.Sent(now)
+	placement := g.reserve(now, best, position)
+	placement.read = true
+	return placement
 }
 
 // readCost estimates the latency of a read at an upstream, apart from the time
--- a/pkg/state/dispatch/unit.go
+++ b/pkg/state/dispatch/unit.go
@@ -67,6 +67,8 @@
 	// active is set while the unit has a statement at the upstream, or is about
 	// to send its first. It is false while a transaction waits for its caller.
 	active bool
+	// read is set for a read that another upstream could have run as well.
+	read bool
 }
 
 // Refusal reports that a unit cannot be served in time. No part of it has run.
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -93,6 +93,13 @@
 	// refusingConnections is set while the upstream refuses connections for
 	// another reason than a reached connection limit; see isRefusalFailure.
 	refusingConnections bool
+	// faults counts the statements that the upstream failed. Probes do not change
+	// it.
+	faults faults
+	// othersOutstanding is the number of statements that the other servers of the
+	// group have outstanding, if othersKnown is set.
+	othersOutstanding int
+	othersKnown       bool
 }
 
 func newUpstream(spec UpstreamSpec) *upstream {
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -24,8 +24,10 @@
 
 // Metrics of the balance between servers and upstreams.
 var (
-	ServersAvoided = gauge("gypsumdock_servers_avoided", "Servers that get trials only, since they answer clearly later than others.")
-	LoadsRefused   = counter("gypsumdock_loads_refused_total", "Loads reported by peers that were refused, by message: reply or report.", "message")
+	ServersAvoided  = gauge("gypsumdock_servers_avoided", "Servers that get trials only, since they answer clearly later than others.")
+	UpstreamAvoided = gauge("gypsumdock_upstream_avoided", "1 while the upstream gets only trials of the reads that others can take, since it fails clearly more statements than they do; else 0.", "upstream")
+	UpstreamFaults  = counter("gypsumdock_upstream_faults_total", "Statements that an upstream failed although they should not fail.", "upstream")
+	LoadsRefused    = counter("gypsumdock_loads_refused_total", "Loads reported by peers that were refused, by message: reply or report.", "message")
 )
 
 // Metrics of the mesh.
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	u.dispatch().Answered(u.route.Group, u.placement, dispatcher.Answer{
-		Route: u.route.Name, SentAt: sentAt, Position: answer.Position,
+		Route: u.route.Name, SentAt: sentAt, Position: answer.Position, Fault: fault(answer.Reason),
 	})
 	telemetry.UpstreamSeconds.With(string(u.placement.Upstream)).Update((u.dispatch().Now() - sentAt).Seconds())
 	return answer, nil
