Share the slots of an upstream by what its servers have outstanding

Each of four servers could have (2 x slots + 3) / 4 + 1 statements outstanding at an upstream, whatever the others had. A server with most of the load queued units while slots were free.

The servers of a group tell each other what they have outstanding (LoadReport, on change, at most every 100 ms for each receiver, nothing when idle; a count other than zero is repeated after 500 ms). Each may have twice the slots less what the others report. One that was not heard from for a second counts with an equal part.

Reports that cannot be are refused, counted, and logged once a second.

--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -25,6 +25,9 @@
 	Home model.DataCentre
 	// UseTopology is called whenever the topology changes.
 	UseTopology func(Topology)
+	// Self is the ID of this instance. If it is empty, the servers of a group do
+	// not share the slots of its upstreams by load.
+	Self model.InstanceID
 	// Logger may be nil.
 	Logger *slog.Logger
 }
@@ -34,6 +37,7 @@
 type Dispatcher struct {
 	config   Config
 	snapshot atomic.Pointer[region.Snapshot]
+	loads    *loads
 
 	mu     sync.Mutex
 	groups map[model.GroupID]*group
@@ -53,7 +57,7 @@
 
 // New returns a dispatcher without groups.
 func New(config Config) *Dispatcher {
-	d := &Dispatcher{config: config, groups: make(map[model.GroupID]*group)}
+	d := &Dispatcher{config: config, loads: newLoads(), groups: make(map[model.GroupID]*group)}
 	d.snapshot.Store(&region.Snapshot{Catalog: &catalog.Catalog{}})
 	return d
 }
@@ -87,6 +91,7 @@
 	changed := previous.TopologyVersion != snapshot.TopologyVersion
 	if changed {
 		d.config.UseTopology(topology(snapshot))
+		d.loads.setUpstreams(sharedUpstreams(snapshot, d.config.Self))
 	}
 	for id, served := range snapshot.Serving {
 		if !served.Local && !changed {
@@ -102,7 +107,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if changed {
-		g.decisions.SetUpstreams(upstreamSpecs(snapshot, id, served))
+		specs := upstreamSpecs(snapshot, id, served)
+		g.decisions.SetUpstreams(specs)
+		for _, spec := range specs {
+			g.decisions.LimitOutstanding(spec.ID, d.loads.limit(d.Now(), spec.ID))
+		}
 	}
 	g.decisions.SetLeadership(leadership(snapshot, id))
 	g.deliverDecisions(d.Now())
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -150,7 +150,7 @@
 	h.store = platform.NewStore(h.settings.StoreAddress, storeTimeout)
 	h.pools = textback.New(wire, h.settings.Machine)
 	h.forward = textforward.New(h.logger)
-	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology, Logger: h.logger})
+	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology, Self: h.self.ID, Logger: h.logger})
 	peers := meshpeer.New(meshCallTimeout)
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
@@ -160,7 +160,7 @@
 		Busy: newProcessorUse(h.settings.Cores).Permille,
 	})
 	h.mesh = mesh.New(mesh.Config{
-		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front}, Logger: h.logger,
+		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: newHostedPeer(h), Logger: h.logger,
 	})
 	h.mesh.SetSeeds(h.seeds())
 	peers.SetNode(h.mesh)
@@ -269,6 +269,7 @@
 	defer stopBackground()
 	go func() { _ = h.ready.Serve(listener) }()
 	go h.watchConnectivity(background)
+	go h.reportLoads(background)
 	served := make(chan error, 1)
 	go func() { served <- h.front.Serve() }()
 	for {
--- a/pkg/instance/hostedpeer.go
+++ b/pkg/instance/hostedpeer.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 
+	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/coordination/region"
+	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/model"
@@ -14,14 +17,30 @@
 
 // hostedPeer handles the messages and forwarded units of work of peers.
 type hostedPeer struct {
-	loop  *region.Loop
-	front *textfront.Server
+	loop     *region.Loop
+	front    *textfront.Server
+	dispatch *dispatcher.Dispatcher
+	logger   *slog.Logger
+	// loadRefused logs reports of load that cannot be.
+	loadRefused *events.Throttle
+}
+
+func newHostedPeer(h *Hosted) hostedPeer {
+	return hostedPeer{
+		loop: h.loop, front: h.front, dispatch: h.dispatch, logger: h.logger,
+		loadRefused: events.NewThrottle(events.LoadRefused, loadRefusedInterval),
+	}
 }
 
 var _ mesh.Handler = hostedPeer{}
 
 // HandleMessage handles one message of a peer.
 func (p hostedPeer) HandleMessage(from model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
+	p.dispatch.PeerHeard(from)
+	if report := message.GetLoadReport(); report != nil {
+		p.useLoadReport(from, report)
+		return
+	}
 	if message.GetHeadAsk() != nil {
 		head := p.loop.Snapshot().View.Head
 		if head == nil {
--- a/pkg/state/dispatch/faults_test.go
+++ b/pkg/state/dispatch/faults_test.go
@@ -184,6 +184,19 @@
 		Expect(group.AnswerFailed(0, place(group, newWrite(0)), "write", millis(5), dispatch.FaultTimeout)).To(BeTrue())
 	})
 
+	It("counts a busy upstream if all servers together leave it a free slot", func() {
+		group := newGroup()
+		samplePrimary(group, 0)
+		for _, id := range []model.UpstreamID{primary, localReplica, remoteReplica} {
+			group.LimitOutstanding(id, dispatch.OutstandingLimit{Max: 2, Others: 1, OthersKnown: true})
+		}
+		Expect(group.AnswerFailed(0, place(group, newRead(0)), "read", millis(5), dispatch.FaultBusy)).To(BeTrue())
+		for _, id := range []model.UpstreamID{primary, localReplica, remoteReplica} {
+			group.LimitOutstanding(id, dispatch.OutstandingLimit{Max: 2, Others: 2, OthersKnown: true})
+		}
+		Expect(group.AnswerFailed(0, place(group, newRead(0)), "read", millis(5), dispatch.FaultBusy)).To(BeFalse())
+	})
+
 	It("does not count a busy upstream whose other users are unknown", func() {
 		group := newGroup()
 		samplePrimary(group, 0)
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -96,6 +96,8 @@
 	// faults counts the statements that the upstream failed. Probes do not change
 	// it.
 	faults faults
+	// outstandingLimit replaces spec.MaxOutstanding unless it is zero.
+	outstandingLimit int
 	// othersOutstanding is the number of statements that the other servers of the
 	// group have outstanding, if othersKnown is set.
 	othersOutstanding int
@@ -115,14 +117,14 @@
 }
 
 func (u *upstream) hasRoom(now time.Duration) bool {
-	return u.inUse < u.limit(now) && u.active < u.spec.MaxOutstanding
+	return u.inUse < u.limit(now) && u.active < u.maxOutstanding()
 }
 
 // queueWait estimates the time until the given number of units have left the
 // queue for this upstream.
 func (u *upstream) queueWait(now time.Duration, units int) time.Duration {
 	limit := max(1, u.limit(now))
-	maxOutstanding := max(1, u.spec.MaxOutstanding)
+	maxOutstanding := max(1, u.maxOutstanding())
 	return time.Duration(units) * max(u.holdTime/time.Duration(limit), u.averageLatency/time.Duration(maxOutstanding))
 }
 
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -24,10 +24,13 @@
 
 // Metrics of the balance between servers and upstreams.
 var (
-	ServersAvoided  = gauge("gypsumdock_servers_avoided", "Servers that get trials only, since they answer clearly later than others.")
-	UpstreamAvoided = gauge("gypsumdock_upstream_avoided", "1 while the upstream gets only trials of the reads that others can take, since it fails clearly more statements than they do; else 0.", "upstream")
-	UpstreamFaults  = counter("gypsumdock_upstream_faults_total", "Statements that an upstream failed although they should not fail.", "upstream")
-	LoadsRefused    = counter("gypsumdock_loads_refused_total", "Loads reported by peers that were refused, by message: reply or report.", "message")
+	ServersAvoided    = gauge("gypsumdock_servers_avoided", "Servers that get trials only, since they answer clearly later than others.")
+	UpstreamAvoided   = gauge("gypsumdock_upstream_avoided", "1 while the upstream gets only trials of the reads that others can take, since it fails clearly more statements than they do; else 0.", "upstream")
+	UpstreamFaults    = counter("gypsumdock_upstream_faults_total", "Statements that an upstream failed although they should not fail.", "upstream")
+	UpstreamLimit     = gauge("gypsumdock_upstream_outstanding_limit", "Statements that this instance may have outstanding at the upstream.", "upstream")
+	LoadReportsSent   = counter("gypsumdock_load_reports_sent_total", "Messages to servers of the same group about outstanding statements.")
+	LoadReportedBytes = counter("gypsumdock_load_report_bytes_total", "Bytes of these messages without their frames.")
+	LoadsRefused      = counter("gypsumdock_loads_refused_total", "Loads reported by peers that were refused, by message: reply or report.", "message")
 )
 
 // Metrics of the mesh.
