Balance: a wait for a new primary does not make a server avoided

The state of a server is shared by its groups. A write or a strong read that waits for a new primary of one group made the server look slow, so that reads of its other groups avoided it.

--- a/pkg/state/balance/balance.go
+++ b/pkg/state/balance/balance.go
@@ -94,10 +94,12 @@
 	slownessAt     time.Duration
 	load           Load
 	loadAt         time.Duration
-	// outstanding counts the units without an answer. silentSince is when the
-	// first of them was sent or the last answer arrived, whichever is later, and
-	// silentReference is the longest of the average times of their routes.
+	// outstanding counts the units without an answer, and awaited those of them
+	// that need no primary. silentSince is when the first of the latter was sent
+	// or the last answer arrived, whichever is later, and silentReference is the
+	// longest of the average times of their routes.
 	outstanding     int
+	awaited         int
 	silentSince     time.Duration
 	silentReference time.Duration
 }
@@ -132,20 +134,33 @@
 	return initialReference
 }
 
-// Sent records that a unit was sent to a server.
-func (b *Balance) Sent(now time.Duration, id model.InstanceID, route string) {
+// Request is a unit that was sent to a server, or a further statement of one.
+type Request struct {
+	Route string
+	// NeedsPrimary is set if the server may have to wait for a new primary. A long
+	// wait then says nothing about the server, and would make it avoided for its
+	// other groups.
+	NeedsPrimary bool
+}
+
+// Sent records that a request was sent to a server.
+func (b *Balance) Sent(now time.Duration, id model.InstanceID, request Request) {
 	s := b.server(id)
-	if s.outstanding == 0 {
+	s.outstanding++
+	if request.NeedsPrimary {
+		return
+	}
+	if s.awaited == 0 {
 		s.silentSince = now
 		s.silentReference = 0
 	}
-	s.silentReference = max(s.silentReference, b.reference(route))
-	s.outstanding++
+	s.silentReference = max(s.silentReference, b.reference(request.Route))
+	s.awaited++
 }
 
 // Answer describes the answer of a server, or the end of the wait for one.
 type Answer struct {
-	Route  string
+	Request
 	SentAt time.Duration
 	// Lost is set if there was no answer.
 	Lost bool
@@ -157,6 +172,9 @@
 func (b *Balance) Answered(now time.Duration, id model.InstanceID, answer Answer) {
 	s := b.server(id)
 	s.outstanding = max(0, s.outstanding-1)
+	if !answer.NeedsPrimary {
+		s.awaited = max(0, s.awaited-1)
+	}
 	if !answer.Lost {
 		s.silentSince = now
 	}
@@ -165,6 +183,9 @@
 	}
 	reference := b.reference(answer.Route)
 	elapsed := now - answer.SentAt
+	if answer.NeedsPrimary && elapsed > avoidFactor*reference {
+		return
+	}
 	if !answer.Lost {
 		b.updateReference(answer.Route, min(elapsed, maxReferenceRatio*reference))
 	}
@@ -245,7 +266,7 @@
 func (s *server) slowness(now time.Duration) float64 {
 	decay := ageWeight(now - s.slownessAt)
 	answered := (s.slownessSum*decay + priorWeight) / (s.slownessWeight*decay + priorWeight)
-	if s.outstanding == 0 {
+	if s.awaited == 0 {
 		return answered
 	}
 	return max(answered, min(float64(now-s.silentSince)/float64(max(s.silentReference, time.Millisecond)), maxSlowness))
--- a/pkg/state/balance/balance_test.go
+++ b/pkg/state/balance/balance_test.go
@@ -94,7 +94,7 @@
 		chosen = from.balance.Choose(s.now, from.order, unit, s.random.Uint64())
 	}
 	id := from.order[chosen].Server
-	from.balance.Sent(s.now, id, route)
+	from.balance.Sent(s.now, id, balance.Request{Route: route})
 	work := time.Duration((0.5 + s.random.Float64()) * float64(millis(18)))
 	server := serverIndex(id)
 	s.queues[server] = append(s.queues[server], &job{from: from, server: server, sentAt: s.now, work: work})
@@ -127,7 +127,7 @@
 func (s *simulation) finish(entry *job) {
 	id := model.InstanceID(fmt.Sprintf("s%d", entry.server))
 	waiting := max(0, len(s.queues[entry.server])-workers)
-	entry.from.balance.Answered(s.now, id, balance.Answer{Route: route, SentAt: entry.sentAt})
+	entry.from.balance.Answered(s.now, id, balance.Answer{Request: balance.Request{Route: route}, SentAt: entry.sentAt})
 	entry.from.balance.Reported(s.now, id, balance.Load{Running: len(s.queues[entry.server]) - waiting, Waiting: waiting})
 	s.answered[entry.server]++
 	s.total++
@@ -252,16 +252,41 @@
 	})
 })
 
+// The servers of a group wait up to 1.6 s for its new primary. They serve other
+// groups in that time.
+var _ = Describe("a server that waits for a new primary", func() {
+	avoidedAfter := func(needsPrimary bool) bool {
+		bal := balance.New()
+		order := []balance.Candidate{{Server: "s0", Near: true}, {Server: "s1", Near: true}}
+		request := balance.Request{Route: "orders", NeedsPrimary: needsPrimary}
+		for i := range 4 {
+			bal.Sent(millis(i), "s0", request)
+		}
+		bal.Choose(millis(800), order, balance.Unit{Route: route}, 0)
+		for i := range 4 {
+			bal.Answered(millis(1600), "s0", balance.Answer{Request: request, SentAt: millis(i)})
+		}
+		bal.Choose(millis(1601), order, balance.Unit{Route: route}, 0)
+		return bal.Avoided("s0")
+	}
+
+	It("is not avoided for units that wait for a primary", func() {
+		Expect(avoidedAfter(true)).To(BeFalse())
+		Expect(avoidedAfter(false)).To(BeTrue())
+	})
+})
+
 func BenchmarkChoose(b *testing.B) {
 	bal := balance.New()
 	var order []balance.Candidate
 	for i := range 10 {
 		id := model.InstanceID(fmt.Sprintf("machine-%d/123456789-1712345678901", i))
 		order = append(order, balance.Candidate{Server: id, Near: i < 4})
-		bal.Sent(0, id, route)
-		bal.Answered(millis(20), id, balance.Answer{Route: route})
+		request := balance.Request{Route: route}
+		bal.Sent(0, id, request)
+		bal.Answered(millis(20), id, balance.Answer{Request: request})
 		bal.Reported(millis(20), id, balance.Load{Running: 3, Waiting: 1, Busy: 0.5})
-		bal.Sent(millis(21), id, route)
+		bal.Sent(millis(21), id, request)
 	}
 	unit := balance.Unit{Route: route, TimeToTarget: target}
 	b.ReportAllocs()
--- a/pkg/transport/textforward/balance.go
+++ b/pkg/transport/textforward/balance.go
@@ -10,7 +10,9 @@
 
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/balance"
+	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 )
@@ -152,12 +154,25 @@
 	events.Log(context.Background(), b.logger, events.ServerSlowEnded, attrs...)
 }
 
+// balanceRequest describes a request to package balance. A further statement of a
+// transaction counts as one that needs the primary: its route is unknown.
+func balanceRequest(request *meshpb.UnitRequest) balance.Request {
+	unit := request.GetUnit()
+	kind := statement.Kind(request.GetKind())
+	writes := kind == statement.Write || kind == statement.Execute && !request.GetPrepared().GetReadOnly()
+	strong := unit.GetConsistency() == uint32(catalog.Strong)
+	return balance.Request{
+		Route:        unit.GetRoute(),
+		NeedsPrimary: unit == nil || writes || strong || unit.GetTransaction() && !unit.GetReadOnly(),
+	}
+}
+
 // sent records that a request was sent, and returns when.
 func (b *balancer) sent(id model.InstanceID, request *meshpb.UnitRequest) time.Duration {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.balance.Sent(now, id, request.GetUnit().GetRoute())
+	b.balance.Sent(now, id, balanceRequest(request))
 	return now
 }
 
@@ -170,7 +185,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.balance.Answered(now, id, balance.Answer{
-		Route: request.GetUnit().GetRoute(), SentAt: sentAt,
+		Request: balanceRequest(request), SentAt: sentAt,
 		Lost: reply == nil, Untimed: request.GetUnit() == nil || refused,
 	})
 	load := reply.GetLoad()
--- a/pkg/transport/textforward/balance_test.go
+++ b/pkg/transport/textforward/balance_test.go
@@ -9,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/balance"
+	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 )
@@ -21,7 +23,7 @@
 
 var _ = Describe("Ordered", func() {
 	need := Need{Group: "g", Route: "status", TimeToTarget: time.Second}
-	request := &meshpb.UnitRequest{Unit: &meshpb.UnitOpen{Group: "g", Route: "status"}}
+	request := &meshpb.UnitRequest{Kind: uint32(statement.Read), Unit: &meshpb.UnitOpen{Group: "g", Route: "status", Consistency: uint32(catalog.BoundedStaleness)}}
 
 	newForwarder := func() *Forwarder {
 		f := New(slog.New(slog.DiscardHandler))
