Tests of the balance: reported load, silence, and results from before a trial

With the reported load ignored, its age ignored, the silence of a server ignored, or results from before the start of the trials counted, no test failed. One to four now do.

--- a/pkg/state/balance/balance_test.go
+++ b/pkg/state/balance/balance_test.go
@@ -276,6 +276,61 @@
 	})
 })
 
+var _ = Describe("Choose", func() {
+	order := []balance.Candidate{{Server: "s0", Near: true}, {Server: "s1", Near: true}}
+	unit := balance.Unit{Route: route}
+	// share returns how many of 100 units are sent to s0.
+	share := func(bal *balance.Balance, now time.Duration) int {
+		random := rand.New(rand.NewPCG(7, 8))
+		count := 0
+		for range 100 {
+			if bal.Choose(now, order, unit, random.Uint64()) == 0 {
+				count++
+			}
+		}
+		return count
+	}
+
+	// A frozen server gives no answer from which its state could be learnt.
+	It("avoids a server while a single read there is outstanding for long", func() {
+		bal := balance.New()
+		bal.Sent(0, "s0", balance.Request{Route: route})
+		Expect(bal.Choose(millis(30), order, unit, 0)).To(BeNumerically(">=", 0))
+		Expect(bal.Avoided("s0")).To(BeFalse())
+		Expect(bal.Choose(millis(200), order, unit, 0)).To(Equal(1))
+		Expect(bal.Avoided("s0")).To(BeTrue())
+	})
+
+	DescribeTable("prefers the server with less load of its own, while the report is recent",
+		func(load balance.Load) {
+			bal := balance.New()
+			bal.Reported(0, "s0", load)
+			Expect(share(bal, millis(100))).To(BeZero())
+			bal.Reported(millis(100), "s1", load)
+			Expect(share(bal, millis(100))).To(BeNumerically(">", 90))
+		},
+		Entry("units that wait", balance.Load{Running: 4, Waiting: 20}),
+		Entry("a processor share that is used up", balance.Load{Running: 4, Busy: 1}),
+	)
+
+	It("prefers the server with fewer units of this instance", func() {
+		bal := balance.New()
+		for range 3 {
+			bal.Sent(0, "s0", balance.Request{Route: route, NeedsPrimary: true})
+		}
+		Expect(share(bal, 0)).To(BeZero())
+	})
+
+	It("weighs an old report less than a difference in recent answers", func() {
+		bal := balance.New()
+		bal.Reported(0, "s0", balance.Load{Running: 4, Waiting: 4})
+		now := 30 * time.Second
+		bal.Sent(now, "s1", balance.Request{Route: route})
+		bal.Answered(now+millis(28), "s1", balance.Answer{Request: balance.Request{Route: route}, SentAt: now})
+		Expect(share(bal, now+millis(28))).To(Equal(100))
+	})
+})
+
 func BenchmarkChoose(b *testing.B) {
 	bal := balance.New()
 	var order []balance.Candidate
--- a/pkg/state/dispatch/faults_test.go
+++ b/pkg/state/dispatch/faults_test.go
@@ -176,12 +176,14 @@
 	It("is reported as no longer avoided", func() {
 		group := newGroup()
 		samplePrimary(group, 0)
+		var old *dispatch.Placement
 		for range 20 {
 			only := newRead(0)
 			only.FailedUpstreams = []model.UpstreamID{primary, remoteReplica}
 			placement, _ := group.Submit(0, only)
 			group.AnswerFailed(0, placement, "read", millis(5), dispatch.FaultStatement)
 			group.Release(0, placement)
+			old = placement
 			other := newRead(0)
 			other.FailedUpstreams = []model.UpstreamID{localReplica}
 			placement, _ = group.Submit(0, other)
@@ -189,6 +191,12 @@
 			group.Release(0, placement)
 		}
 		Expect(group.TakeAvoidances()).To(HaveLen(1))
+		// Answers to reads that were placed before say nothing about the present.
+		for range 10 {
+			old.PlacedAt = -millis(1)
+			group.Answered(0, old, "read", millis(5))
+		}
+		Expect(group.TakeAvoidances()).To(BeEmpty())
 		group.SetUpstreams([]dispatch.UpstreamSpec{{ID: primary, Slots: 2, MaxConnections: 3, MaxOutstanding: 2}})
 		Expect(group.TakeAvoidances()).To(Equal([]dispatch.Avoidance{{Upstream: localReplica}}))
 	})
