--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/dispatch"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
 )
 
 // Config holds the settings and dependencies of a Dispatcher.
@@ -23,6 +25,11 @@
 	Home model.DataCentre
 	// UseTopology is called whenever the topology changes.
 	UseTopology func(Topology)
+	// Self is the ID of this instance. If it is empty, the servers of a group do
+	// not share the slots of its upstreams by load.
+	Self model.InstanceID
+	// Logger may be nil.
+	Logger *slog.Logger
 }
 
 // Dispatcher implements region.Traffic for the control state, and places units of
@@ -30,6 +37,7 @@
 type Dispatcher struct {
 	config   Config
 	snapshot atomic.Pointer[region.Snapshot]
+	loads    *loads
 
 	mu     sync.Mutex
 	groups map[model.GroupID]*group
@@ -49,7 +57,7 @@
 
 // New returns a dispatcher without groups.
 func New(config Config) *Dispatcher {
-	d := &Dispatcher{config: config, groups: make(map[model.GroupID]*group)}
+	d := &Dispatcher{config: config, loads: newLoads(), groups: make(map[model.GroupID]*group)}
 	d.snapshot.Store(&region.Snapshot{Catalog: &catalog.Catalog{}})
 	return d
 }
@@ -83,6 +91,7 @@
 	changed := previous.TopologyVersion != snapshot.TopologyVersion
 	if changed {
 		d.config.UseTopology(topology(snapshot))
+		d.loads.setUpstreams(sharedUpstreams(snapshot, d.config.Self))
 	}
 	for id, served := range snapshot.Serving {
 		if !served.Local && !changed {
@@ -98,10 +107,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if changed {
-		g.decisions.SetUpstreams(upstreamSpecs(snapshot, id, served))
+		specs := upstreamSpecs(snapshot, id, served)
+		g.decisions.SetUpstreams(specs)
+		for _, spec := range specs {
+			g.decisions.LimitOutstanding(spec.ID, d.loads.limit(d.Now(), spec.ID))
+		}
 	}
 	g.decisions.SetLeadership(leadership(snapshot, id))
 	g.deliverDecisions(d.Now())
+	d.logAvoidances(id, g.decisions.TakeAvoidances())
 }
 
 // Serves reports whether this instance places the units of a group itself.
@@ -229,6 +243,7 @@
 	now := d.Now()
 	change(now, g)
 	g.deliverDecisions(now)
+	d.logAvoidances(id, g.decisions.TakeAvoidances())
 }
 
 // Release ends a placement and frees its connection for other units.
@@ -251,13 +266,19 @@
 	SentAt time.Duration
 	// Position is the upstream's log position that came with the answer.
 	Position model.Position
+	// Fault says how the upstream failed the statement, if it did.
+	Fault dispatch.Fault
 }
 
 // Answered records the answer to a statement, with its latency and log position.
 // A primary's position counts only if the statement was sent under its permit.
 func (d *Dispatcher) Answered(id model.GroupID, placement *dispatch.Placement, answer Answer) {
 	d.update(id, func(now time.Duration, g *group) {
-		g.decisions.Answered(now, placement, answer.Route, now-answer.SentAt)
+		if answer.Fault == dispatch.FaultNone {
+			g.decisions.Answered(now, placement, answer.Route, now-answer.SentAt)
+		} else if g.decisions.AnswerFailed(now, placement, answer.Route, now-answer.SentAt, answer.Fault) {
+			telemetry.UpstreamFaults.With(string(placement.Upstream)).Inc()
+		}
 		if !placement.Primary {
 			g.decisions.Freshness().AddReplicaSample(placement.Upstream, answer.SentAt, answer.Position)
 			return
@@ -276,7 +297,7 @@
 
 // Abandoned records that the answer to a statement is no longer waited for.
 func (d *Dispatcher) Abandoned(id model.GroupID, placement *dispatch.Placement) {
-	d.update(id, func(_ time.Duration, g *group) { g.decisions.Abandoned(placement) })
+	d.update(id, func(now time.Duration, g *group) { g.decisions.AnswerMissed(now, placement) })
 }
 
 // ConnectionLost records that a statement's connection failed before the answer.
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -150,16 +150,17 @@
 	h.store = platform.NewStore(h.settings.StoreAddress, storeTimeout)
 	h.pools = textback.New(wire, h.settings.Machine)
 	h.forward = textforward.New(h.logger)
-	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology})
+	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology, Self: h.self.ID, Logger: h.logger})
 	peers := meshpeer.New(meshCallTimeout)
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
 	}
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
+		Busy: newProcessorUse(h.settings.Cores).Permille,
 	})
 	h.mesh = mesh.New(mesh.Config{
-		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front}, Logger: h.logger,
+		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: newHostedPeer(h), Logger: h.logger,
 	})
 	h.mesh.SetSeeds(h.seeds())
 	peers.SetNode(h.mesh)
@@ -172,9 +173,14 @@
 func (h *Hosted) useTopology(topology dispatcher.Topology) {
 	h.pools.SetUpstreams(topology.Upstreams, topology.Connections)
 	orders := make(textforward.Orders, len(topology.Servers))
+	near := make(map[model.InstanceID]bool)
 	for id, servers := range topology.Servers {
+		for _, server := range servers {
+			near[server.ID] = server.DataCentre == h.self.DataCentre
+		}
 		orders[id] = serving.ForwardOrder(h.self, id, servers, "", false)
 	}
+	h.forward.SetNear(near)
 	h.forward.SetOrders(orders)
 	withHome := serving.CallersWithHome(topology.Callers)
 	h.forward.SetCallerOrder(h.self.ID, func(group model.GroupID, caller model.CallerName) ([]model.InstanceID, bool) {
@@ -270,6 +276,7 @@
 	defer stopBackground()
 	go func() { _ = h.ready.Serve(listener) }()
 	go h.watchConnectivity(background)
+	go h.reportLoads(background)
 	served := make(chan error, 1)
 	go func() { served <- h.front.Serve() }()
 	for {
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -87,6 +87,8 @@
 	waiting []*Unit
 	// lastSequence is the sequence number of the unit that was queued last.
 	lastSequence uint64
+	// avoidances holds the changes that TakeAvoidances has not returned yet.
+	avoidances []Avoidance
 }
 
 // NewGroup returns a group without upstreams, for an instance in the given data
@@ -121,6 +123,9 @@
 		stays := slices.ContainsFunc(specs, func(spec UpstreamSpec) bool { return spec.ID == existing.spec.ID })
 		if !stays {
 			g.tracker.Forget(existing.spec.ID)
+			if existing.faults.trial.Active() {
+				g.avoidances = append(g.avoidances, Avoidance{Upstream: existing.spec.ID})
+			}
 		}
 	}
 }
--- a/pkg/state/dispatch/upstream.go
+++ b/pkg/state/dispatch/upstream.go
@@ -101,6 +101,15 @@
 	// refusingConnections is set while the upstream refuses connections for
 	// another reason than a reached connection limit; see isRefusalFailure.
 	refusingConnections bool
+	// faults counts the statements that the upstream failed. Probes do not change
+	// it.
+	faults faults
+	// outstandingLimit replaces spec.MaxOutstanding unless it is zero.
+	outstandingLimit int
+	// othersOutstanding is the number of statements that the other servers of the
+	// group have outstanding, if othersKnown is set.
+	othersOutstanding int
+	othersKnown       bool
 }
 
 func newUpstream(spec UpstreamSpec) *upstream {
@@ -119,7 +128,7 @@
 }
 
 func (u *upstream) hasRoom(now time.Duration) bool {
-	return u.inUse < u.limit(now) && u.active < u.spec.MaxOutstanding
+	return u.inUse < u.limit(now) && u.active < u.maxOutstanding()
 }
 
 // hasRoomFor is hasRoom for a unit of the caller, which may hold at most half of
@@ -157,7 +166,7 @@
 // queue for this upstream.
 func (u *upstream) queueWait(now time.Duration, units int) time.Duration {
 	limit := max(1, u.limit(now))
-	maxOutstanding := max(1, u.spec.MaxOutstanding)
+	maxOutstanding := max(1, u.maxOutstanding())
 	return time.Duration(units) * max(u.holdTime/time.Duration(limit), u.averageLatency/time.Duration(maxOutstanding))
 }
 
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -101,6 +101,16 @@
 	return open
 }
 
+// need describes the unit to the forwarder.
+func (f *forwarding) need() textforward.Need {
+	need := textforward.Need{Group: f.route.Group, Caller: f.session.caller, Route: f.route.Name}
+	if f.route.Target > 0 {
+		age := f.session.server.config.Dispatch.Now() - f.arrived
+		need.TimeToTarget = max(f.route.Target-age, time.Millisecond)
+	}
+	return need
+}
+
 // begin sends the first statement of a unit to the servers of its group. If a
 // server is expected soon it does so in rounds, until one answers or serverWait
 // has passed.
--- a/pkg/transport/textfront/home.go
+++ b/pkg/transport/textfront/home.go
@@ -38,7 +38,7 @@
 // they are tried.
 func (f *forwarding) servers() []model.InstanceID {
 	if !f.servesItself() {
-		return f.forwarder().Servers(f.route.Group, f.session.caller)
+		return f.forwarder().Ordered(f.need())
 	}
 	if home, found := f.session.homeElsewhere(f.route); found {
 		return []model.InstanceID{home}
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -211,7 +211,7 @@
 		return nil, err
 	}
 	u.dispatch().Answered(u.route.Group, u.placement, dispatcher.Answer{
-		Route: u.route.Name, SentAt: sentAt, Position: answer.Position,
+		Route: u.route.Name, SentAt: sentAt, Position: answer.Position, Fault: fault(answer.Reason),
 	})
 	telemetry.UpstreamSeconds.With(string(u.placement.Upstream)).Update((u.dispatch().Now() - sentAt).Seconds())
 	return answer, nil
