Access keys: the decision, the confirmation of the configuration and the checks on the statement path

Cause: a caller's access key was not looked at, so that a removed key went on to work. Change: pkg/state/access decides on a key by the active configuration and by the time at which that was known to be the newest. The confirmation is the start of the store's call that showed the configuration; the reader passes it to the members and these to the observers, as an age that can only grow on the way. A session is checked at its start and for each statement, a unit that waited once more when it has its connection, and a forwarded unit by its server. An instance whose confirmation stays too old is not ready. Result: tests of the packages touched pass.

--- /dev/null
+++ b/pkg/coordination/region/confirm.go
@@ -0,0 +1,77 @@
+package region
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gypsumdock/pkg/events"
+	"gypsumdock/pkg/state/access"
+	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/model"
+)
+
+// ErrOtherRow means that a row of the table with the configuration is another
+// row than that of the configuration.
+var ErrOtherRow = errors.New("not the row of the configuration")
+
+// errUnreadableRow means that a row cannot be read, so that it may be that of the
+// configuration.
+var errUnreadableRow = errors.New("the row cannot be read")
+
+// maxConfirmationAge is the largest age of a confirmation that is accepted from
+// a peer. It is far above any useful one.
+const maxConfirmationAge = time.Hour
+
+// showRow passes a row of the configuration table to the confirmation. offered is
+// the configuration in it; err says why there is none.
+func (l *Loop) showRow(entry Entry, offered *catalog.Catalog, err error) {
+	switch {
+	case err == nil:
+		l.confirmation.RowShown(entry.Version, offered.Version)
+	case !errors.Is(err, ErrOtherRow):
+		l.confirmation.RowShown(entry.Version, 0)
+	}
+}
+
+// confirmFromPeer takes over the confirmation in the reply to a query that was
+// sent at started. adopted is false if the configuration in the reply could not
+// be used.
+func (l *Loop) confirmFromPeer(started time.Duration, reply *StateReply, adopted bool) {
+	if !reply.Confirmed || !adopted || l.catalog == nil {
+		return
+	}
+	if reply.ConfirmationAge < 0 || reply.ConfirmationAge > maxConfirmationAge {
+		return
+	}
+	l.confirmation.PeerConfirmed(started, reply.ConfirmationAge)
+}
+
+// addConfirmation adds the confirmation of a snapshot to a reply. The tables must
+// be added after the snapshot was loaded: they then hold the configuration that
+// it confirms, or a newer one.
+func (l *Loop) addConfirmation(reply *StateReply, snapshot *Snapshot) {
+	if snapshot.ConfirmedAt == 0 {
+		return
+	}
+	reply.Confirmed = true
+	reply.ConfirmationAge = max(l.now()-snapshot.ConfirmedAt, 0)
+}
+
+// maxNamedCallers bounds the accounts that one log line names.
+const maxNamedCallers = 100
+
+// logCallerChanges logs which accounts have gained or lost keys with a new
+// configuration.
+func (l *Loop) logCallerChanges(before, after *catalog.Catalog) {
+	changes := access.Compare(before, after)
+	if changes.IsEmpty() {
+		return
+	}
+	named := func(names []model.CallerName) []model.CallerName { return names[:min(len(names), maxNamedCallers)] }
+	events.Log(l.ctx, l.config.Logger, events.CallerKeysChanged,
+		slog.Uint64("version", uint64(after.Version)),
+		slog.Any("keys_added", named(changes.KeysAdded)), slog.Any("keys_removed", named(changes.KeysRemoved)),
+		slog.Any("accounts_removed", named(changes.Removed)))
+}
--- a/pkg/coordination/region/follow.go
+++ b/pkg/coordination/region/follow.go
@@ -37,6 +37,8 @@
 	// answeredAt is set to the time of the newest answer of the store, in
 	// nanoseconds of the loop's clock.
 	answeredAt *atomic.Int64
+	// deliverAll is set if answers without a change are delivered too.
+	deliverAll bool
 }
 
 // tableChange is the result of one request to a feed.
@@ -46,6 +48,8 @@
 	complete bool
 	// version is the version at which the entries were read.
 	version int64
+	// startedAt is when the request was sent, on the loop's clock.
+	startedAt time.Duration
 }
 
 // follow reads a table and then waits for its changes, until the loop is
@@ -63,6 +67,7 @@
 			sleep(l.ctx, followPollInterval)
 			continue
 		}
+		startedAt := l.now()
 		changed, err := table.next(l.ctx, version)
 		if errors.Is(err, ErrHistoryGone) {
 			events.Log(l.ctx, l.config.Logger, events.TableHistoryGone, slog.String("table", table.name))
@@ -85,8 +90,9 @@
 		}
 		retryBackoff.Reset()
 		version = changed.version
+		changed.startedAt = startedAt
 		table.answeredAt.Store(int64(l.now()))
-		if changed.complete || len(changed.entries) > 0 {
+		if table.deliverAll || changed.complete || len(changed.entries) > 0 {
 			deliver(changed)
 		}
 	}
--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -12,6 +12,7 @@
 
 	"gypsumdock/pkg/coordination/control"
 	"gypsumdock/pkg/coordination/share"
+	"gypsumdock/pkg/state/access"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
@@ -95,6 +96,8 @@
 	// at which it ceases to if it is no longer one of the servers.
 	servedUntil     map[model.GroupID]time.Duration
 	topologyVersion uint64
+	// confirmation tells when catalog was known to be the newest.
+	confirmation access.Confirmation
 
 	// The fields below belong to an instance that is no member. observing is set
 	// while a query is in progress, and observedAt is when the last one that was
@@ -151,6 +154,7 @@
 	l.tasks.Go(func() {
 		l.follow(tableFeed{
 			name: "configuration", feed: l.config.Configurations, maxWait: configurationMaxWait, answeredAt: &l.configurationAnsweredAt,
+			deliverAll: true,
 		}, func(changed tableChange) {
 			l.post(func() { l.configurationChanged(changed) })
 		})
@@ -274,6 +278,7 @@
 		Current:          l.isCurrent(l.now()),
 
 		MembersAnsweredAt: l.membersAnsweredAt,
+		ConfirmedAt:       l.confirmation.At(),
 	}
 	l.latest.Store(snapshot)
 	l.config.Traffic.Publish(snapshot)
--- a/pkg/coordination/region/observer.go
+++ b/pkg/coordination/region/observer.go
@@ -147,6 +147,7 @@
 		return nil, errNoAnswer
 	}
 	reply := &StateReply{Head: snapshot.View.Head, Current: snapshot.Current}
+	l.addConfirmation(reply, snapshot)
 	if !snapshot.View.Registered {
 		return reply, l.addTables(reply, known)
 	}
--- a/pkg/coordination/region/observer_test.go
+++ b/pkg/coordination/region/observer_test.go
@@ -54,10 +54,15 @@
 
 // startLoop starts a loop of the instance "self".
 func startLoop(peers region.Peers, heads region.HeadStore, config failover.Config) *region.Loop {
+	return startLoopWith(configured(), peers, heads, config)
+}
+
+// startLoopWith starts a loop that reads the configuration from the table.
+func startLoopWith(configurations region.Feed, peers region.Peers, heads region.HeadStore, config failover.Config) *region.Loop {
 	config.PermitLifetime = time.Minute
 	loop, err := region.New(region.Config{
 		Self: model.Member{ID: "self", DataCentre: "a", Machine: "self"}, Failover: config, Clock: &wallClock{started: time.Now()},
-		Heads: heads, Configurations: configured(), Databases: &feed{}, Decoder: decoder{},
+		Heads: heads, Configurations: configurations, Databases: &feed{}, Decoder: decoder{},
 		Upstreams: upstreams{}, Promotion: unavailable{}, Peers: peers, Traffic: idleTraffic{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -21,6 +21,8 @@
 	Value   []byte
 	Version int64
 	Deleted bool
+	// Unreadable is set for a row of which not even the key could be read.
+	Unreadable bool
 }
 
 // Feed reads a platform table and its changes. Instances never write it.
@@ -29,12 +31,15 @@
 	Read(ctx context.Context) ([]Entry, int64, error)
 	// Next waits at most for the time wait until rows have changed after the
 	// version. It returns these rows and the version to continue from, or
-	// ErrHistoryGone if the store no longer keeps the changes.
+	// ErrHistoryGone if the store no longer keeps the changes. The answer holds
+	// all rows that were changed after the version and before the call started.
 	Next(ctx context.Context, after int64, wait time.Duration) ([]Entry, int64, error)
 }
 
 // Decoder decodes the rows of the platform's tables.
 type Decoder interface {
+	// Configuration returns ErrOtherRow for rows of the table that do not hold the
+	// configuration.
 	Configuration(entry Entry) (*catalog.Catalog, error)
 	Upstream(entry Entry) (catalog.Upstream, error)
 }
@@ -148,6 +153,10 @@
 	// Current is true while Catalog and Upstreams are known to be the newest
 	// ones, apart from the time of their transmission.
 	Current bool
+	// ConfirmedAt is when Catalog was known to be the newest configuration: the
+	// start of the call to the store that showed it. It is zero for never, and
+	// negative for a time before the start of the process.
+	ConfirmedAt time.Duration
 	// MembersAnsweredAt is when the query was sent that was answered last by a
 	// member which is not cut off. It is kept by observers only; see
 	// failover.View.
--- a/pkg/coordination/region/reader.go
+++ b/pkg/coordination/region/reader.go
@@ -75,6 +75,10 @@
 	// CutOff holds the members that cannot renew their permits. It is set for
 	// observers only.
 	CutOff []model.InstanceID
+	// ConfirmationAge is the age of the answering instance's confirmation, if
+	// Confirmed is set; see Snapshot.ConfirmedAt.
+	ConfirmationAge time.Duration
+	Confirmed       bool
 }
 
 // servedTables holds the tables as this instance sends them to peers. It is
@@ -201,22 +205,23 @@
 	if reply.Current {
 		l.lastCurrentQueryAt = started
 	}
-	if reply.Catalog != nil {
-		l.applyPeerCatalog(reply.Catalog)
-	}
+	adopted := reply.Catalog == nil || l.applyPeerCatalog(reply.Catalog)
+	l.confirmFromPeer(started, reply, adopted)
 	if reply.Upstreams != nil && reply.UpstreamsVersion > l.upstreamsVersion {
 		l.applyPeerUpstreams(reply)
 	}
 }
 
-// applyPeerCatalog adopts the configuration in a reply, as JSON.
-func (l *Loop) applyPeerCatalog(data []byte) {
+// applyPeerCatalog adopts the configuration in a reply, as JSON. It returns false
+// if that cannot be decoded.
+func (l *Loop) applyPeerCatalog(data []byte) bool {
 	offered := &catalog.Catalog{}
 	if err := json.Unmarshal(data, offered); err != nil {
 		l.logRejectedRow("configuration of a peer", Entry{}, err)
-		return
+		return false
 	}
 	l.adoptCatalog(offered)
+	return true
 }
 
 // applyPeerUpstreams replaces the list of upstreams by the one in a reply.
@@ -266,6 +271,7 @@
 		return nil, errNoAnswer
 	}
 	reply := &StateReply{Head: read.head, Current: l.followsBothTables()}
+	l.addConfirmation(reply, l.latest.Load())
 	return reply, l.addTables(reply, known)
 }
 
--- a/pkg/coordination/region/tables.go
+++ b/pkg/coordination/region/tables.go
@@ -12,14 +12,28 @@
 
 // configurationChanged processes changed rows of the configuration table.
 func (l *Loop) configurationChanged(changed tableChange) {
+	if changed.complete {
+		l.confirmation.ReadCompletely()
+	}
 	for _, entry := range changed.entries {
-		offered, err := l.config.Decoder.Configuration(entry)
+		offered, err := l.decodeConfiguration(entry)
+		l.showRow(entry, offered, err)
 		if err != nil {
 			l.logRejectedRow("configuration", entry, err)
 			continue
 		}
 		l.adoptCatalog(offered)
 	}
+	if l.catalog != nil {
+		l.confirmation.Answered(changed.startedAt, l.catalog.Version)
+	}
+}
+
+func (l *Loop) decodeConfiguration(entry Entry) (*catalog.Catalog, error) {
+	if entry.Unreadable {
+		return nil, errUnreadableRow
+	}
+	return l.config.Decoder.Configuration(entry)
 }
 
 // adoptCatalog makes a configuration the active one if it is newer.
@@ -28,6 +42,7 @@
 	if newest == l.catalog {
 		return
 	}
+	l.logCallerChanges(l.catalog, newest)
 	l.catalog = newest
 	events.Log(l.ctx, l.config.Logger, events.CatalogAdopted,
 		slog.Uint64("version", uint64(newest.Version)),
--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -159,6 +159,21 @@
 		Level:   slog.LevelWarn,
 		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, or the request cannot be carried out.",
 	})
+	// CallerKeysChanged is event 538.
+	CallerKeysChanged = define(Event{
+		Number:  538,
+		Name:    "caller keys changed",
+		Level:   slog.LevelInfo,
+		Meaning: "With the configuration of this version, accounts have gained or lost access keys, or were removed. Keys are never logged.",
+	})
+	// ConfirmationTooOld is event 539.
+	ConfirmationTooOld = define(Event{
+		Number:  539,
+		Name:    "configuration unconfirmed",
+		Level:   slog.LevelWarn,
+		Meaning: "This instance does not know whether its configuration is the newest, or does so again. While it does not, it runs no unit of work of a client account, and is not ready.",
+		Action:  "If it lasts: check the network to the store and to the members, and whether the line of event 523 names the row of the configuration.",
+	})
 	// AcceptFailed is event 144.
 	AcceptFailed = define(Event{
 		Number:  144,
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -111,6 +111,9 @@
 	// cutOff is set while the instance neither holds a permit nor reaches the
 	// store ("away" in the log).
 	cutOff atomicFlag
+	// unconfirmed is set while the configuration has client accounts and its
+	// confirmation has been too old for cutOffAfter.
+	unconfirmed atomicFlag
 }
 
 // NewHosted opens the listeners for callers and peers and creates the parts of
@@ -157,6 +160,7 @@
 	}
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
+		Self: h.self.ID, RevocationTime: h.settings.RevocationTime,
 	})
 	h.mesh = mesh.New(mesh.Config{
 		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front}, Logger: h.logger,
--- /dev/null
+++ b/pkg/instance/hostedconfirmed.go
@@ -0,0 +1,60 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"gypsumdock/pkg/coordination/region"
+	"gypsumdock/pkg/events"
+	"gypsumdock/pkg/state/access"
+	"gypsumdock/pkg/telemetry"
+)
+
+// confirmationLimit returns the age of the confirmation up to which an instance
+// counts as in touch. An instance that only forwards does not decide by the age,
+// and hears of the confirmation through a member, so that its age is usually
+// higher: 3.6 s at most while nothing fails.
+func confirmationLimit(snapshot *region.Snapshot, bound time.Duration) time.Duration {
+	for _, served := range snapshot.Serving {
+		if served.Local {
+			return access.UsableAge(bound)
+		}
+	}
+	return bound
+}
+
+// isConfirmationTooOld reports whether the configuration has client accounts and
+// this instance cannot tell that their keys are still valid.
+func isConfirmationTooOld(snapshot *region.Snapshot, now, bound time.Duration) bool {
+	if !snapshot.Catalog.Authenticates || bound == 0 {
+		return false
+	}
+	return snapshot.ConfirmedAt == 0 || now-snapshot.ConfirmedAt > confirmationLimit(snapshot, bound)
+}
+
+func (h *Hosted) isConfirmationTooOld(snapshot *region.Snapshot, now time.Duration) bool {
+	return isConfirmationTooOld(snapshot, now, h.settings.RevocationTime)
+}
+
+// updateConfirmed makes the instance not ready while its confirmation stays too
+// old. lastConfirmed is the last time at which it was not; the new one is
+// returned. Open sessions are kept: they are served by other instances, and if
+// the store is down no instance is better off.
+func (h *Hosted) updateConfirmed(ctx context.Context, now, lastConfirmed time.Duration) time.Duration {
+	snapshot := h.loop.Snapshot()
+	age := now - snapshot.ConfirmedAt
+	if snapshot.Catalog.Authenticates && snapshot.ConfirmedAt != 0 {
+		telemetry.ConfirmationAge.With().Set(age.Seconds())
+	}
+	if !h.isConfirmationTooOld(snapshot, now) {
+		lastConfirmed = now
+	}
+	unconfirmed := h.wasReady.isSet() && now-lastConfirmed > cutOffAfter
+	if unconfirmed != h.unconfirmed.isSet() {
+		h.unconfirmed.change(unconfirmed)
+		events.Log(ctx, h.logger, events.ConfirmationTooOld, slog.Bool("unconfirmed", unconfirmed),
+			slog.Uint64("configuration", uint64(snapshot.Catalog.Version)), slog.Duration("confirmation_age", age))
+	}
+	return lastConfirmed
+}
--- a/pkg/instance/hostedready.go
+++ b/pkg/instance/hostedready.go
@@ -33,12 +33,15 @@
 		return false
 	}
 	if h.wasReady.isSet() {
-		return !h.cutOff.isSet()
+		return !h.cutOff.isSet() && !h.unconfirmed.isSet()
 	}
 	snapshot := h.loop.Snapshot()
 	if snapshot.Catalog.Version == 0 || snapshot.View.Observer && snapshot.MembersAnsweredAt == 0 {
 		return false
 	}
+	if h.isConfirmationTooOld(snapshot, h.clock.Now()) {
+		return false
+	}
 	for _, served := range snapshot.Serving {
 		if len(served.Servers) == 0 {
 			return false
@@ -59,7 +62,7 @@
 func (h *Hosted) watchConnectivity(ctx context.Context) {
 	ticker := time.NewTicker(connectivityInterval)
 	defer ticker.Stop()
-	var lastConnected time.Duration
+	var lastConnected, lastConfirmed time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,6 +79,7 @@
 			events.Log(ctx, h.logger, events.InstanceAway, slog.Bool("away", cutOff), slog.Duration("since", now-lastConnected))
 		}
 		h.front.SetDraining(cutOff)
+		lastConfirmed = h.updateConfirmed(ctx, now, lastConfirmed)
 	}
 }
 
--- a/pkg/protocol/meshlink/region.go
+++ b/pkg/protocol/meshlink/region.go
@@ -1,6 +1,8 @@
 package meshlink
 
 import (
+	"time"
+
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/catalog"
@@ -44,6 +46,8 @@
 		UpstreamsVersion: reply.UpstreamsVersion,
 		Suspects:         encodeIDs(reply.Suspects),
 		CutOff:           encodeIDs(reply.CutOff),
+
+		ConfirmationAgeMs: encodeConfirmationAge(reply),
 	}}}
 }
 
@@ -63,6 +67,7 @@
 	reply := &region.StateReply{Head: head, Current: answer.GetCurrent(), UpstreamsVersion: answer.GetUpstreamsVersion()}
 	reply.Suspects = decodeIDs(answer.GetSuspects())
 	reply.CutOff = decodeIDs(answer.GetCutOff())
+	reply.ConfirmationAge, reply.Confirmed = decodeConfirmationAge(answer.GetConfirmationAgeMs())
 	if len(answer.GetCatalog()) > 0 {
 		reply.Catalog = answer.GetCatalog()
 	}
@@ -72,6 +77,26 @@
 	return reply, nil
 }
 
+// encodeConfirmationAge returns the age in milliseconds plus one, or zero if there
+// was no confirmation. It is rounded up, as a confirmation must not become newer.
+func encodeConfirmationAge(reply *region.StateReply) uint64 {
+	if !reply.Confirmed {
+		return 0
+	}
+	age := max(reply.ConfirmationAge, 0)
+	return uint64((age+time.Millisecond-1)/time.Millisecond) + 1
+}
+
+// maxAgeMillis bounds the age that a peer can send, so that it fits a duration.
+const maxAgeMillis = uint64(24 * time.Hour / time.Millisecond)
+
+func decodeConfirmationAge(encoded uint64) (age time.Duration, confirmed bool) {
+	if encoded == 0 {
+		return 0, false
+	}
+	return time.Duration(min(encoded-1, maxAgeMillis)) * time.Millisecond, true
+}
+
 func encodeIDs(ids []model.InstanceID) []string {
 	var names []string
 	for _, id := range ids {
--- a/pkg/protocol/meshlink/region_test.go
+++ b/pkg/protocol/meshlink/region_test.go
@@ -1,6 +1,9 @@
 package meshlink_test
 
 import (
+	"math"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -36,6 +39,30 @@
 		}, &model.Head{Version: 8, Groups: []model.GroupHead{}, Members: []model.Member{}}),
 	)
 
+	// A confirmation that becomes newer on its way lets a removed key live on.
+	DescribeTable("gets the age of the confirmation, rounded up",
+		func(reply region.StateReply, age time.Duration) {
+			reply.Head = &model.Head{Version: 7}
+			decoded, err := meshlink.DecodeRegionAnswer(meshlink.EncodeRegionAnswer(&reply, known.Version), known)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decoded.Confirmed).To(Equal(reply.Confirmed))
+			Expect(decoded.ConfirmationAge).To(Equal(age))
+		},
+		Entry("none", region.StateReply{}, time.Duration(0)),
+		Entry("zero", region.StateReply{Confirmed: true}, time.Duration(0)),
+		Entry("part of a millisecond", region.StateReply{Confirmed: true, ConfirmationAge: 1}, time.Millisecond),
+		Entry("whole milliseconds", region.StateReply{Confirmed: true, ConfirmationAge: 2 * time.Second}, 2*time.Second),
+		Entry("and a part", region.StateReply{Confirmed: true, ConfirmationAge: 2*time.Second + 1}, 2*time.Second+time.Millisecond),
+	)
+
+	It("gets a bounded age from a peer that sends an absurd one", func() {
+		answer := meshlink.EncodeRegionAnswer(&region.StateReply{Head: &model.Head{Version: 7}}, known.Version)
+		answer.GetRegionAnswer().ConfirmationAgeMs = math.MaxUint64
+		decoded, err := meshlink.DecodeRegionAnswer(answer, known)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.ConfirmationAge).To(Equal(24 * time.Hour))
+	})
+
 	It("fails for an answer of another type", func() {
 		_, err := meshlink.DecodeRegionAnswer(meshlink.EncodeFailure("no"), known)
 		Expect(err).To(HaveOccurred())
--- a/pkg/protocol/statement/statement.go
+++ b/pkg/protocol/statement/statement.go
@@ -57,6 +57,9 @@
 	// Key is the digest of the access key with which the caller identifies its
 	// account.
 	Key model.KeyDigest
+	// KeyFault says why the access key cannot be one, as a text for the caller;
+	// empty if it can.
+	KeyFault string
 }
 
 // State is the state of a session between two statements.
--- /dev/null
+++ b/pkg/state/access/confirmation.go
@@ -0,0 +1,66 @@
+package access
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/catalog"
+)
+
+// Confirmation tracks the time at which the active configuration was known to be
+// the newest one. An instance that follows the store's table passes the rows and
+// the answers of the feed to it, in their order; any instance passes what a peer
+// has confirmed. It is not safe for concurrent use.
+//
+// The feed guarantees that an answer holds all rows that were changed before the
+// start of its call and after the previous answer. So an answer without a change
+// confirms what the answers before it have shown.
+type Confirmation struct {
+	at time.Duration
+	// shown is the version of the configuration in the newest row that the feed has
+	// shown since the last complete read; 0 if there is none or it is unusable.
+	shown catalog.Version
+	// row is the version of that row.
+	row int64
+}
+
+// At returns the time; zero for never. It may be before the start of the clock.
+func (c *Confirmation) At() time.Duration { return c.at }
+
+// ReadCompletely forgets the rows that the feed has shown. It precedes the rows
+// of a complete read of the table.
+func (c *Confirmation) ReadCompletely() { c.shown, c.row = 0, 0 }
+
+// RowShown records a row of the configuration. version is the one of the
+// configuration in it; 0 if the row cannot be decoded, is deleted, or may be one
+// of the configuration but cannot be read.
+func (c *Confirmation) RowShown(row int64, version catalog.Version) {
+	if row >= c.row {
+		c.row, c.shown = row, version
+	}
+}
+
+// Answered records that the rows of an answer have been passed on. startedAt is
+// the start of the call, and active the version of the active configuration. A
+// store that shows an older configuration than the active one confirms nothing:
+// it may have been restored from a copy.
+func (c *Confirmation) Answered(startedAt time.Duration, active catalog.Version) {
+	if c.shown != 0 && c.shown == active {
+		c.advance(startedAt)
+	}
+}
+
+// PeerConfirmed records that a peer had a confirmation of the given age, in an
+// answer to a query that was sent at sentAt. The configuration that it confirms,
+// or a newer one, must be active.
+func (c *Confirmation) PeerConfirmed(sentAt, age time.Duration) { c.advance(sentAt - age) }
+
+// advance sets the time, unless a later one is known.
+func (c *Confirmation) advance(at time.Duration) {
+	if at == 0 {
+		// Zero stands for never.
+		at--
+	}
+	if c.at == 0 || at > c.at {
+		c.at = at
+	}
+}
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -29,7 +29,11 @@
 	// server is the instance that was asked last.
 	server   model.InstanceID
 	attempts int
-	arrived  time.Duration
+	// denied is set if a server found the access key invalid, and unconfirmed if one
+	// could not tell whether it is valid.
+	denied      bool
+	unconfirmed bool
+	arrived     time.Duration
 	// deadline is when the caller must be answered.
 	deadline time.Time
 }
@@ -108,7 +112,7 @@
 	waitUntil := time.Now().Add(serverWait)
 	for {
 		stream, reply, sent := f.beginOnce(stmt, open, mayRepeat)
-		if sent || f.isPastDeadline() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
+		if sent || f.isDecided() || f.isPastDeadline() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
 			return stream, reply, sent
 		}
 		sleep(f.session.server.ctx, serverRetryInterval)
@@ -125,6 +129,9 @@
 		if f.isPastDeadline() {
 			break
 		}
+		if server == f.session.server.config.Self {
+			continue
+		}
 		f.server = server
 		f.attempts++
 		if !mayRepeat && !f.forwarder().IsAlive(server) {
@@ -143,7 +150,11 @@
 		if err != nil && !mayRepeat {
 			return nil, nil, true
 		}
-		f.recorder().forwardRetried(f, stmt.request, f.failure(err, reply))
+		cause := f.failure(err, reply)
+		if f.denied {
+			break
+		}
+		f.recorder().forwardRetried(f, stmt.request, cause)
 	}
 	return nil, nil, false
 }
@@ -154,7 +165,16 @@
 	if err != nil {
 		return err.Error()
 	}
-	f.forwarder().Avoid(f.server, reply.GetRefusal().String())
+	switch reply.GetRefusal() {
+	case meshpb.UnitRefusal_UNIT_REFUSAL_DENIED:
+		f.denied = true
+	case meshpb.UnitRefusal_UNIT_REFUSAL_UNCONFIRMED:
+		// A server that has not got the newest configuration yet is able to serve
+		// other callers, so that it is not avoided.
+		f.unconfirmed = true
+	default:
+		f.forwarder().Avoid(f.server, reply.GetRefusal().String())
+	}
 	return reply.GetRefusal().String()
 }
 
@@ -172,6 +192,10 @@
 // refuse tells the caller that no server took the unit, so that it has not run.
 func (f *forwarding) refuse(request statement.Request) {
 	s := f.session
+	if f.denied || f.unconfirmed {
+		f.refuseAccess(request)
+		return
+	}
 	f.recorder().forwardFailed(f, request, statement.FailOverloaded, "not_run", "no server answers")
 	s.out = s.codec().AppendFailure(s.out, statement.Failure{
 		Code: statement.FailOverloaded, Text: notRunText("no server of the group answers", noServerRetryAfter),
--- a/pkg/transport/textfront/forwardtransaction.go
+++ b/pkg/transport/textfront/forwardtransaction.go
@@ -65,6 +65,8 @@
 	case reply == nil:
 		tx.refuse(stmt.request)
 		s.failTransaction()
+	case tx.isRefused(stmt.request, reply):
+		s.failTransaction()
 	default:
 		tx.wrote = tx.wrote || stmt.writes
 		tx.answer(stmt.request, reply)
@@ -92,6 +94,7 @@
 	reply, lost := tx.exchange(boundStatement{request: request}, arrived)
 	tx.rollBack()
 	switch {
+	case reply != nil && tx.isRefused(request, reply):
 	case reply != nil:
 		tx.answer(request, reply)
 	case lost && tx.wrote:
--- a/pkg/transport/textfront/recorder.go
+++ b/pkg/transport/textfront/recorder.go
@@ -129,6 +129,10 @@
 
 // refused records a unit that got no upstream.
 func (r *recorder) refused(u *unit, request statement.Request) {
+	if u.denied.IsDenial() {
+		r.failure(u, request, statement.FailDenied, "not_run", u.denied.String())
+		return
+	}
 	cause := ""
 	if u.refusal != nil {
 		cause = u.refusal.Reason.String()
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -10,6 +10,7 @@
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/access"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/textback"
@@ -65,6 +66,9 @@
 		return nil, meshpb.UnitRefusal_UNIT_REFUSAL_NOT_SERVED
 	}
 	unit := &session{server: s, socket: conn, prepared: make(map[string]prepared), forwarded: route}
+	if refusal := unit.admitUnit(request); refusal != meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED {
+		return nil, refusal
+	}
 	unit.mark = model.Position{Term: open.GetMarkTerm(), LSN: model.LSN(open.GetMarkLsn())}
 	unit.markAt = s.config.Dispatch.Now() - boundedTime(open.GetMarkAgeMs(), time.Millisecond)
 	if open.GetTransaction() {
@@ -160,6 +164,9 @@
 		Name:  request.GetName(),
 		Value: request.GetValue(),
 	}, s.server.config.Dispatch.Now()-age)
+	if s.refusal != access.Allowed {
+		return &meshpb.UnitReply{Refusal: unitRefusal(s.refusal)}
+	}
 	if s.noPermit {
 		return &meshpb.UnitReply{Refusal: meshpb.UnitRefusal_UNIT_REFUSAL_NO_PERMIT}
 	}
@@ -188,7 +195,7 @@
 }
 
 func isValidUnit(open *meshpb.UnitOpen) bool {
-	return open.GetGroup() != "" && open.GetConsistency() <= uint32(catalog.ReadYourWrites)
+	return open.GetGroup() != "" && hasValidDigest(open) && open.GetConsistency() <= uint32(catalog.ReadYourWrites)
 }
 
 // isValidStatement reports whether a request holds a statement that an upstream
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -14,6 +14,7 @@
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/textback"
 	"gypsumdock/pkg/transport/textforward"
@@ -21,6 +22,8 @@
 
 // Config holds the dependencies and settings of a Server.
 type Config struct {
+	// Self is this instance, to which no unit is forwarded.
+	Self     model.InstanceID
 	Listener net.Listener
 	Codec    statement.CallerCodec
 	Dispatch *dispatcher.Dispatcher
@@ -31,6 +34,9 @@
 	Forwarder *textforward.Forwarder
 	Logger    *slog.Logger
 	Stop      StopTimes
+	// RevocationTime is the time after which an access key that was removed from
+	// the configuration must have no effect; 0 if that is not required.
+	RevocationTime time.Duration
 }
 
 // StopTimes holds the schedule of a graceful stop. All times count from its
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/access"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/transport/lines"
@@ -18,12 +19,6 @@
 	// callerBufferBytes is the size of the read buffer of a caller's
 	// connection. Longer statements are read in several pieces.
 	callerBufferBytes = 1 << 10
-	// startTimeout bounds the wait for the first line of a session.
-	startTimeout = 5 * time.Second
-	// catalogTimeout bounds the wait for the first configuration. Callers
-	// abandon a session that is not answered within two seconds.
-	catalogTimeout      = 1200 * time.Millisecond
-	catalogPollInterval = 20 * time.Millisecond
 	// lineTimeout bounds the wait for the rest of a line whose first byte has
 	// arrived.
 	lineTimeout = 10 * time.Second
@@ -44,7 +39,14 @@
 	start statement.Start
 	// caller is the client account that the session's access key identifies; empty
 	// if the route needs no key.
-	caller   model.CallerName
+	caller model.CallerName
+	// unconfirmed is set if this instance may not run the statement in progress, as
+	// its configuration may be out of date, while other servers may.
+	unconfirmed bool
+	// sender is the version of the configuration of the peer that forwards the
+	// unit, and refusal why a unit was not run by its access key.
+	sender   catalog.Version
+	refusal  access.Reason
 	values   map[string]string
 	prepared map[string]prepared
 	state    statement.State
@@ -96,51 +98,6 @@
 	}
 }
 
-// handshake reads the first line, which starts the session, and answers it. It
-// returns false if the session was refused.
-func (s *session) handshake() bool {
-	_ = s.socket.SetReadDeadline(time.Now().Add(startTimeout))
-	line, err := lines.Read(s.reader, statement.MaxMessageBytes)
-	if err != nil {
-		return false
-	}
-	start, err := s.codec().ParseStart(line)
-	if err != nil {
-		s.refuse(statement.FailMalformed, "START expected")
-		return false
-	}
-	s.start = start
-	if !s.awaitCatalog() {
-		s.refuse(statement.FailOverloaded, "not run: no configuration is known yet")
-		return false
-	}
-	if _, found := s.server.config.Dispatch.Catalog().Route(start.Database); !found {
-		s.refuse(statement.FailNoDatabase, "no route to this database")
-		return false
-	}
-	s.out = s.codec().AppendReady(s.out[:0], statement.Idle)
-	return s.flush()
-}
-
-// awaitCatalog waits for the first configuration, without which the routes of a
-// database are not known. It returns false if none has arrived in time.
-func (s *session) awaitCatalog() bool {
-	for end := time.Now().Add(catalogTimeout); s.server.config.Dispatch.Catalog().Version == 0; {
-		if time.Now().After(end) || s.server.ctx.Err() != nil {
-			return false
-		}
-		sleep(s.server.ctx, catalogPollInterval)
-	}
-	return true
-}
-
-// refuse sends a failure after which the connection is closed.
-func (s *session) refuse(code statement.FailureCode, text string) {
-	s.server.recorder.startRefused(s.start, code)
-	s.out = s.codec().AppendFailure(s.out[:0], statement.Failure{Code: code, Text: text})
-	s.flush()
-}
-
 func (s *session) codec() statement.CallerCodec { return s.server.config.Codec }
 
 // flush writes s.out to the caller and reports whether that succeeded.
@@ -276,6 +233,9 @@
 		s.answerFailed(request)
 		return
 	}
+	if !s.admit(request, arrived) {
+		return
+	}
 	switch request.Kind {
 	case statement.Begin:
 		s.begin(request)
@@ -394,7 +354,7 @@
 // mustForward reports whether another instance has to execute a unit of the
 // route. A unit that a peer has forwarded stays here.
 func (s *session) mustForward(route *catalog.Route) bool {
-	return s.forwarded == nil && !s.server.config.Dispatch.Serves(route.Group)
+	return s.forwarded == nil && (s.unconfirmed || !s.server.config.Dispatch.Serves(route.Group))
 }
 
 // failTransaction rolls back the transaction, if one is open, after a failure.
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -9,6 +9,7 @@
 
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/access"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/dispatch"
 	"gypsumdock/pkg/state/model"
@@ -52,6 +53,8 @@
 	conn      *textback.Conn
 	// refusal says why the last call of acquire failed.
 	refusal *dispatch.Refusal
+	// denied is why the access key was found invalid after the unit had waited.
+	denied access.Reason
 }
 
 func newUnit(s *session, route *catalog.Route, needsPrimary bool) *unit {
@@ -107,7 +110,7 @@
 		}
 		u.placement = placement
 		if u.connect(checkAlive) {
-			return true
+			return u.keyStillValid()
 		}
 	}
 	if u.refusal == nil {
