Confirmation of the configuration: rows that cannot be read, a store that has gone back

Cause: a row of the configuration's table that could not be decoded at all was left out by the client of the store, so that a removal in it would have been confirmed as no change. A store that was restored from a copy numbers new changes below those already seen. Change: such a row is shown to the loop, which reads the table completely; so it does if the version of the feed falls or an answer lacks changes.

--- a/pkg/coordination/region/confirm.go
+++ b/pkg/coordination/region/confirm.go
@@ -26,8 +26,14 @@
 
 // showRow passes a row of the configuration table to the confirmation. offered is
 // the configuration in it; err says why there is none.
-func (l *Loop) showRow(entry Entry, offered *catalog.Catalog, err error) {
+func (l *Loop) showRow(changed tableChange, entry Entry, offered *catalog.Catalog, err error) {
 	switch {
+	case entry.Unreadable:
+		// A complete read shows the row of the configuration itself, if there is
+		// one, so that the unreadable row is another.
+		if !changed.complete {
+			l.confirmation.RowLost()
+		}
 	case err == nil:
 		l.confirmation.RowShown(entry.Version, offered.Version)
 	case !errors.Is(err, ErrOtherRow):
--- a/pkg/coordination/region/follow.go
+++ b/pkg/coordination/region/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,11 @@
 		}
 		startedAt := l.now()
 		changed, err := table.next(l.ctx, version)
+		if err == nil && table.deliverAll && changed.version < version {
+			// The store has gone back to an earlier state, so that changes after it
+			// may be missed.
+			err = ErrHistoryGone
+		}
 		if errors.Is(err, ErrHistoryGone) {
 			events.Log(l.ctx, l.config.Logger, events.TableHistoryGone, slog.String("table", table.name))
 			version = -1
@@ -95,9 +101,16 @@
 		if table.deliverAll || changed.complete || len(changed.entries) > 0 {
 			deliver(changed)
 		}
+		if table.deliverAll && !changed.complete && slices.ContainsFunc(changed.entries, isUnreadable) {
+			// A complete read tells whether the row was that of the configuration.
+			version = -1
+			sleep(l.ctx, minRetryDelay)
+		}
 	}
 }
 
+func isUnreadable(entry Entry) bool { return entry.Unreadable }
+
 // retryDelay returns the delay after a failure. It stays short until the table
 // was read once, since no statement can be served before.
 func retryDelay(next time.Duration, version int64) time.Duration {
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -21,7 +21,8 @@
 	Value   []byte
 	Version int64
 	Deleted bool
-	// Unreadable is set for a row of which not even the key could be read.
+	// Unreadable is set for a row of which not even the key and the version could be
+	// read. Its other fields are empty.
 	Unreadable bool
 }
 
@@ -32,7 +33,8 @@
 	// Next waits at most for the time wait until rows have changed after the
 	// version. It returns these rows and the version to continue from, or
 	// ErrHistoryGone if the store no longer keeps the changes. The answer holds
-	// all rows that were changed after the version and before the call started.
+	// all rows that were changed after the version and before the call started. A
+	// lower version than the given one means that the store has lost changes.
 	Next(ctx context.Context, after int64, wait time.Duration) ([]Entry, int64, error)
 }
 
--- a/pkg/coordination/region/tables.go
+++ b/pkg/coordination/region/tables.go
@@ -17,7 +17,7 @@
 	}
 	for _, entry := range changed.entries {
 		offered, err := l.decodeConfiguration(entry)
-		l.showRow(entry, offered, err)
+		l.showRow(changed, entry, offered, err)
 		if err != nil {
 			l.logRejectedRow("configuration", entry, err)
 			continue
--- a/pkg/state/access/confirmation.go
+++ b/pkg/state/access/confirmation.go
@@ -31,14 +31,17 @@
 func (c *Confirmation) ReadCompletely() { c.shown, c.row = 0, 0 }
 
 // RowShown records a row of the configuration. version is the one of the
-// configuration in it; 0 if the row cannot be decoded, is deleted, or may be one
-// of the configuration but cannot be read.
+// configuration in it; 0 if the row cannot be decoded or is deleted.
 func (c *Confirmation) RowShown(row int64, version catalog.Version) {
 	if row >= c.row {
 		c.row, c.shown = row, version
 	}
 }
 
+// RowLost records that the feed has shown a row which may be that of the
+// configuration but of which not even the key could be read.
+func (c *Confirmation) RowLost() { c.shown = 0 }
+
 // Answered records that the rows of an answer have been passed on. startedAt is
 // the start of the call, and active the version of the active configuration. A
 // store that shows an older configuration than the active one confirms nothing:
--- a/pkg/state/access/confirmation_test.go
+++ b/pkg/state/access/confirmation_test.go
@@ -193,6 +193,7 @@
 			Expect(c.At()).To(Equal(3 * s))
 		},
 		Entry("while the row cannot be decoded", func(c *access.Confirmation) { c.RowShown(2, 0) }, catalog.Version(4)),
+		Entry("while a row is unreadable that may be the one", func(c *access.Confirmation) { c.RowLost() }, catalog.Version(4)),
 		Entry("while the row shows a configuration that is not active", func(c *access.Confirmation) { c.RowShown(2, 5) }, catalog.Version(4)),
 		// A store that was restored from a copy shows an older row.
 		Entry("while the row shows an older configuration", func(c *access.Confirmation) { c.RowShown(2, 3) }, catalog.Version(4)),
--- a/pkg/transport/textfront/accessforward_test.go
+++ b/pkg/transport/textfront/accessforward_test.go
@@ -131,6 +131,10 @@
 		Expect(refusal).To(Equal(meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED))
 		defer s1.server.endUnit(unit)
 		Expect(newUnit(unit, unit.forwarded, false).spec.Caller).To(Equal(model.CallerName("acme")))
+
+		request.Unit.Caller = "other"
+		_, refusal = s1.server.openUnit(nil, request)
+		Expect(refusal).To(Equal(meshpb.UnitRefusal_UNIT_REFUSAL_DENIED))
 	})
 
 	// A server whose confirmation is too old refused its own callers although
