--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -157,7 +157,7 @@
 		Number:  537,
 		Name:    "unit of a peer refused",
 		Level:   slog.LevelWarn,
-		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, or the request cannot be carried out.",
+		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, the request cannot be carried out, or its access key is not valid or cannot be confirmed.",
 	})
 	// CallerKeysChanged is event 538.
 	CallerKeysChanged = define(Event{
