--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -30,6 +30,11 @@
 	// LinkMbps is the bandwidth that the settings state; zero leaves it out. With
 	// little of it only the first few instances become members.
 	LinkMbps float64
+	// Keys are the access keys of the client account at the start; nil for a
+	// configuration without accounts. RevocationTime is the time after which a
+	// removed key must have no effect.
+	Keys           []string
+	RevocationTime time.Duration
 }
 
 // DefaultOptions are those of a small site.
@@ -62,6 +67,7 @@
 	ports   ports
 	mu      sync.Mutex
 	version int
+	keys    []string
 }
 
 // ports are the same on all instances, which have addresses of their own.
@@ -80,7 +86,7 @@
 
 // Start starts a system and waits until all its instances are ready.
 func Start(ctx context.Context, options Options) (*System, error) {
-	s := &System{options: options, version: 1}
+	s := &System{options: options, version: 1, keys: options.Keys}
 	if err := s.start(ctx); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
@@ -125,7 +131,7 @@
 func (s *System) Configure(timeout time.Duration) {
 	s.mu.Lock()
 	s.version += 3
-	version := s.version
+	version, keys := s.version, s.keys
 	s.mu.Unlock()
 	route := func(database, kind string, priority int, age int64) map[string]any {
 		return map[string]any{
@@ -134,7 +140,7 @@
 			"priority": priority, "max_staleness_ms": age,
 		}
 	}
-	body, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"version": version,
 		"routes": []any{
 			route(DatabaseLatest, "primary", 1, 0),
@@ -145,10 +151,23 @@
 			"name": s.options.Group.Name, "max_connections": s.options.Group.MaxConnections, "sync_replicas": 0,
 		}},
 		"limits": map[string]any{"transaction_idle_ms": 3000},
-	})
+	}
+	if keys != nil {
+		fields["tenants"] = []any{map[string]any{"name": "acme", "api_keys": keys}}
+	}
+	body, _ := json.Marshal(fields)
 	s.Store.Put("op", "config", body)
 }
 
+// SetKeys writes the next version of the configuration, with these access keys of
+// the client account. The store has acknowledged it when SetKeys returns.
+func (s *System) SetKeys(timeout time.Duration, keys ...string) {
+	s.mu.Lock()
+	s.keys = append([]string{}, keys...)
+	s.mu.Unlock()
+	s.Configure(timeout)
+}
+
 // freePorts finds ports that are free on the addresses of all instances.
 func freePorts(instances int) (ports, error) {
 	var found []int
@@ -203,12 +222,15 @@
 link_mbps = %g
 [bounds]
 grace_period_s = %g
+strict_revocation = %t
+revocation_ms = %d
 [platform]
 address = %q
 [cloud_api]
 address = %q
 `, i.name(), i.IP, i.Index%s.options.Group.Databases, regionName, s.ports.mesh, s.ports.mesh+10, instanceIP(0)+":1",
-		i.address(s.ports.callers), i.address(s.ports.ready), s.options.LinkMbps, s.options.Grace.Seconds(), i.ToStore.Address(), s.Group.Cloud())
+		i.address(s.ports.callers), i.address(s.ports.ready), s.options.LinkMbps, s.options.Grace.Seconds(),
+		s.options.RevocationTime > 0, s.options.RevocationTime.Milliseconds(), i.ToStore.Address(), s.Group.Cloud())
 }
 
 // Start starts the instance's process.
