Confirmation tests: the instance is a member from the start

Cause: as an observer it stopped and started to follow the table by itself, so that one test passed without the complete read that it is meant to show. Change: the settings of the test let it register at once. Result: the test fails with the mechanism off, and passes with it, also with the race detector.

--- a/pkg/coordination/region/confirm_test.go
+++ b/pkg/coordination/region/confirm_test.go
@@ -85,7 +85,7 @@
 		var err error
 		loop, err = region.New(region.Config{
 			Self: model.Member{ID: "self", DataCentre: "a", Machine: "self"}, Clock: clock, Heads: &headStore{}, Configurations: table, Databases: &feed{},
-			Failover: failover.Config{PermitLifetime: time.Minute},
+			Failover: failover.Config{PermitLifetime: time.Minute, MinMembers: 1, MaxMembers: 4},
 			Decoder:  tableDecoder{}, Upstreams: upstreams{}, Promotion: unavailable{}, Peers: unavailable{}, Traffic: idleTraffic{},
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
