--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -157,7 +157,22 @@
 		Number:  537,
 		Name:    "unit of a peer refused",
 		Level:   slog.LevelWarn,
-		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, or the request cannot be carried out.",
+		Meaning: "A unit of work that a peer forwarded was not taken, and has not run: the group is not served here, this instance is stopping, the request cannot be carried out, or its access key is not valid or cannot be confirmed.",
+	})
+	// CallerKeysChanged is event 538.
+	CallerKeysChanged = define(Event{
+		Number:  538,
+		Name:    "caller keys changed",
+		Level:   slog.LevelInfo,
+		Meaning: "With the configuration of this version, accounts have gained or lost access keys, or were removed. Keys are never logged.",
+	})
+	// ConfirmationTooOld is event 539.
+	ConfirmationTooOld = define(Event{
+		Number:  539,
+		Name:    "configuration unconfirmed",
+		Level:   slog.LevelWarn,
+		Meaning: "This instance does not know whether its configuration is the newest, or does so again. While it does not, it runs no unit of work of a client account, and is not ready.",
+		Action:  "If it lasts: check the network to the store and to the members, and whether the line of event 523 names the row of the configuration.",
 	})
 	// ServerSlow is event 550.
 	ServerSlow = define(Event{
--- a/pkg/transport/textfront/home.go
+++ b/pkg/transport/textfront/home.go
@@ -12,7 +12,7 @@
 	if s.forwarded != nil {
 		return false
 	}
-	if !s.server.config.Dispatch.Serves(route.Group) {
+	if s.unconfirmed || !s.server.config.Dispatch.Serves(route.Group) {
 		return true
 	}
 	_, elsewhere := s.homeElsewhere(route)
@@ -29,9 +29,10 @@
 }
 
 // servesItself reports whether this instance can execute the unit, so that it
-// needs no other server than the home of its caller.
+// needs no other server than the home of its caller. It does not execute a unit
+// whose key the home found invalid: its own configuration may be older.
 func (f *forwarding) servesItself() bool {
-	return f.session.server.config.Dispatch.Serves(f.route.Group)
+	return !f.denied && f.session.server.config.Dispatch.Serves(f.route.Group) && f.session.isConfirmed(f.arrived)
 }
 
 // servers returns the servers to which the unit may be sent, in the order in which
--- a/pkg/transport/textfront/home_test.go
+++ b/pkg/transport/textfront/home_test.go
@@ -19,14 +19,20 @@
 
 const (
 	smallCaller = model.CallerName("small")
-	smallKey    = "key-of-small"
+	largeCaller = model.CallerName("large")
 )
 
-// newServing returns a server of the group that knows the caller, with an upstream.
+// keyOf returns the access key of a caller.
+func keyOf(caller model.CallerName) string { return "key-of-" + string(caller) }
+
+// newServing returns a server of the group that knows the callers, with an upstream.
 func newServing(u *fakeUpstream) *fixture {
 	f := newFixture(catalog.Route{}, u)
 	known := *f.snapshot
-	known.Catalog = known.Catalog.WithCallers([]catalog.Caller{{Name: smallCaller, Keys: []model.KeyDigest{model.DigestKey(smallKey)}}})
+	known.Catalog = known.Catalog.WithCallers([]catalog.Caller{
+		{Name: smallCaller, Keys: []model.KeyDigest{model.DigestKey(keyOf(smallCaller))}},
+		{Name: largeCaller, Keys: []model.KeyDigest{model.DigestKey(keyOf(largeCaller))}},
+	})
 	known.TopologyVersion++
 	f.snapshot = &known
 	f.dispatch.Publish(f.snapshot)
@@ -37,6 +43,12 @@
 // caller: the home is the instance "home" of the mesh.
 func newServingWithHome(mesh *fakeMesh, u *fakeUpstream) *fixture {
 	f := newServing(u)
+	f.setHome(mesh)
+	return f
+}
+
+// setHome makes the instance "home" of the mesh the home of the small caller.
+func (f *fixture) setHome(mesh *fakeMesh) {
 	forwarder := textforward.New(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	forwarder.SetNode(mesh)
 	forwarder.SetOrders(textforward.Orders{group: {"self", "home"}})
@@ -44,18 +56,16 @@
 		return []model.InstanceID{"home", "self"}, caller == smallCaller
 	})
 	f.server.config.Forwarder = forwarder
-	return f
 }
 
 // dialAs starts a session of a caller.
 func (f *fixture) dialAs(caller model.CallerName) *testCaller {
 	near, far := loopback()
 	s := newSession(f.server, far)
-	s.caller = caller
 	go s.serve()
 	DeferCleanup(near.Close)
 	c := &testCaller{conn: near, reader: bufio.NewReader(near)}
-	_, _ = fmt.Fprintf(near, "START %s %s\r\n", name, smallKey)
+	_, _ = fmt.Fprintf(near, "START %s %s\r\n", name, keyOf(caller))
 	Expect(c.answer()).To(Equal("READY I -"))
 	return c
 }
@@ -89,9 +99,13 @@
 		Expect(away.statements()).To(ContainElements("id1 READ a", "id1 WRITE a 1", "id1 WRITE a 2"))
 	})
 
-	It("runs here for a caller without a home, and without a caller", func() {
-		Expect(f.dialAs("").query("READ a")).To(HavePrefix("DATAROW v"))
-		Expect(f.dialAs("large").query("READ a")).To(HavePrefix("DATAROW v"))
+	It("runs here for a caller without a home, and without accounts", func() {
+		Expect(f.dialAs(largeCaller).query("READ a")).To(HavePrefix("DATAROW v"))
+		Expect(here.statements()).To(HaveLen(1))
+		open := newFixture(catalog.Route{}, here)
+		open.setHome(mesh)
+		Expect(open.dialAs(smallCaller).query("READ a")).To(HavePrefix("DATAROW v"))
+		Expect(here.statements()).To(HaveLen(2))
 		Expect(away.statements()).To(BeEmpty())
 	})
 
--- a/pkg/transport/textfront/single.go
+++ b/pkg/transport/textfront/single.go
@@ -65,6 +65,10 @@
 		u.discardConn()
 		return false
 	}
+	if !u.keyStillValid() {
+		u.refuse()
+		return true
+	}
 	positionChecked := !u.placement.RequiredPosition.IsZero()
 	if u.placement.Primary && !positionChecked && !u.dispatch().MaySend(u.route.Group, u.placement) {
 		u.returnConn()
