Rates and priorities of callers in the folder; checks of accounts

Cause: the folder had no rate limit, and a hosted configuration took any account: a name with a line end would have been written into the first line of a connection to an upstream, and a key of two accounts went to the first one by name.

Change: [[caller]] gets rate, burst and priority, checked with the value that was read. model.CallerPolicy holds them for both kinds of configuration; bundle.Caller and catalog.Caller convert to it, as they are stored and sent under different names (lower case and Go field names), so that one embedded type would have changed one of the two forms. Defaults are not stored: a folder without the new keys keeps its bytes and digest, and instances of an earlier version accept it. platform refuses a configuration with an invalid account as a whole; the error names the index, and neither key nor name. tomlbind says which number was read; secrets are only in fields of type string.

--- a/pkg/state/bundle/bundle.go
+++ b/pkg/state/bundle/bundle.go
@@ -90,6 +90,11 @@
 	Weight int `json:"weight"`
 	// MaxConnections limits the caller's connections to one instance.
 	MaxConnections int `json:"max_connections"`
+	// Rate, Burst and Priority are read through Policy. A Priority of nil means
+	// model.DefaultPriority.
+	Rate     float64 `json:"rate,omitempty"`
+	Burst    float64 `json:"burst,omitempty"`
+	Priority *int    `json:"priority,omitempty"`
 }
 
 // Upstream returns the upstream named id.
--- a/pkg/state/bundle/check.go
+++ b/pkg/state/bundle/check.go
@@ -57,6 +57,7 @@
 		databases: map[string]model.GroupID{},
 		upstreams: map[model.UpstreamID]model.GroupID{},
 		addresses: map[string]model.UpstreamID{},
+		callers:   map[model.CallerName]bool{},
 	}
 	for i := range b.Groups {
 		c.group(entryRef{KindGroup, i}, &b.Groups[i])
@@ -78,6 +79,7 @@
 	databases map[string]model.GroupID
 	upstreams map[model.UpstreamID]model.GroupID
 	addresses map[string]model.UpstreamID
+	callers   map[model.CallerName]bool
 }
 
 func (c *checker) group(at entryRef, group *Group) {
@@ -161,11 +163,18 @@
 
 func (c *checker) caller(at entryRef, caller *Caller) {
 	c.name(at, "name", string(caller.Name))
+	// Merge reports duplicates itself, as only it knows both places; a stored
+	// bundle is checked here.
+	if c.callers[caller.Name] {
+		c.report(at, "name", "%q is the name of an earlier caller", caller.Name)
+	}
+	c.callers[caller.Name] = true
 	if _, err := ParseVerifier(caller.Verifier); err != nil {
 		c.report(at, "verifier", "%v; gypsumctl verifier creates one", err)
 	}
 	c.count(at, "weight", caller.Weight, 1, maxWeight)
 	c.count(at, "max_connections", caller.MaxConnections, 1, maxCallerSessions)
+	c.policy(at, caller)
 }
 
 func (c *checker) name(at entryRef, field, text string) {
--- a/pkg/state/bundle/diff.go
+++ b/pkg/state/bundle/diff.go
@@ -179,9 +179,9 @@
 }
 
 func (c *Caller) describe() description {
-	return description{KindCaller, string(c.Name), []field{
+	return description{KindCaller, string(c.Name), append([]field{
 		{name: "verifier", value: c.Verifier, secret: true},
 		plainField("weight", c.Weight),
 		plainField("max_connections", c.MaxConnections),
-	}}
+	}, c.describePolicy()...)}
 }
--- a/pkg/state/bundle/merge.go
+++ b/pkg/state/bundle/merge.go
@@ -94,6 +94,7 @@
 		if !at.has("max_connections") {
 			caller.MaxConnections = DefaultMaxConnections
 		}
+		caller.setPolicyDefaults(at)
 		addEntry(&m.callers, entry[Caller]{string(caller.Name), caller.toCaller(), at}, mergeMode{caller.Override, caller.Remove})
 	}
 	for i, upstream := range schema.Leaving {
--- a/pkg/state/bundle/schema.go
+++ b/pkg/state/bundle/schema.go
@@ -70,6 +70,9 @@
 	Verifier       string           `toml:"verifier"`
 	Weight         int              `toml:"weight"`
 	MaxConnections int              `toml:"max_connections"`
+	Rate           float64          `toml:"rate"`
+	Burst          float64          `toml:"burst"`
+	Priority       int              `toml:"priority"`
 }
 
 func (s *groupSchema) toGroup() Group {
@@ -103,5 +106,13 @@
 }
 
 func (s *callerSchema) toCaller() Caller {
-	return Caller{Name: s.Name, Verifier: s.Verifier, Weight: s.Weight, MaxConnections: s.MaxConnections}
+	return Caller{
+		Name:           s.Name,
+		Verifier:       s.Verifier,
+		Weight:         s.Weight,
+		MaxConnections: s.MaxConnections,
+		Rate:           s.Rate,
+		Burst:          s.Burst,
+		Priority:       s.storedPriority(),
+	}
 }
--- a/pkg/state/catalog/caller.go
+++ b/pkg/state/catalog/caller.go
@@ -22,6 +22,11 @@
 	Priority int
 }
 
+// Policy returns the account's rate limit and priority.
+func (c *Caller) Policy() model.CallerPolicy {
+	return model.CallerPolicy{Name: c.Name, Rate: c.Rate, Burst: c.Burst, Priority: c.Priority}
+}
+
 // callerKey is an access key with its account.
 type callerKey struct {
 	digest model.KeyDigest
--- a/pkg/tomlbind/value.go
+++ b/pkg/tomlbind/value.go
@@ -60,6 +60,10 @@
 		return setText(field, node, text)
 	}
 	mismatch := fmt.Sprintf("must be %s", describe(field.Type()))
+	if isNumber(field) && text != "" {
+		// Only fields of type string hold secrets, so the text can be shown.
+		mismatch += fmt.Sprintf(", not %q", text)
+	}
 	switch {
 	case field.Type() == durationType && node.Kind == unstable.String:
 		duration, err := time.ParseDuration(text)
@@ -85,6 +89,11 @@
 	return ""
 }
 
+// isNumber reports whether field is a number other than a duration.
+func isNumber(field reflect.Value) bool {
+	return field.Type() != durationType && (field.CanInt() || field.CanUint() || field.CanFloat())
+}
+
 // setText sets a field that has UnmarshalText.
 func setText(field reflect.Value, node *unstable.Node, text string) string {
 	if node.Kind != unstable.String {
