Status of callers: limit, use and refusals

Cause: an operator could not see the limit of a caller or how much of it is used.

Change: the admin status lists the first 100 callers by name with rate, burst, priority and weight, and sums up the rest. The rate limiter reports its use through callerUsageSource (pkg/instance/callerstatus.go); without one the use is unknown. gypsumctl status sums the use over the instances that report it, and shows the limits in force where they differ while a change spreads. gypsumctl check counts the callers with a rate. A test looks for verifiers and passwords in the output of check, diff, apply, history and status.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -50,6 +50,8 @@
 	tracer    *telemetry.Tracer
 	stopping  atomicFlag
 	ready     readyLatch
+	// callerUsage is nil if no rate limiter runs.
+	callerUsage callerUsageSource
 }
 
 // listeners are the open listening sockets.
--- a/pkg/operator/configuration.go
+++ b/pkg/operator/configuration.go
@@ -30,12 +30,14 @@
 	if err != nil {
 		return err
 	}
-	return c.app.print(checkResult{
+	result := checkResult{
 		Digest:  digest,
 		Groups:  len(b.Groups),
 		Routes:  len(b.Routes),
 		Callers: len(b.Callers),
-	})
+	}
+	result.addCallers(b.Callers)
+	return c.app.print(result)
 }
 
 // diffCommand is gypsumctl diff.
--- a/pkg/operator/output.go
+++ b/pkg/operator/output.go
@@ -70,10 +70,28 @@
 	Groups  int    `json:"groups"`
 	Routes  int    `json:"routes"`
 	Callers int    `json:"callers"`
+	// LimitedCallers is the number of callers with a rate, and TotalRate the sum
+	// of their rates.
+	LimitedCallers int     `json:"limited_callers"`
+	TotalRate      float64 `json:"total_rate"`
+}
+
+// addCallers counts the callers with a rate.
+func (r *checkResult) addCallers(callers []bundle.Caller) {
+	for i := range callers {
+		if policy := callers[i].Policy(); policy.Limited() {
+			r.LimitedCallers++
+			r.TotalRate += policy.Rate
+		}
+	}
 }
 
 func (r checkResult) writeText(w io.Writer) {
 	fmt.Fprintf(w, "sound: %d groups, %d routes, %d callers, digest %s\n", r.Groups, r.Routes, r.Callers, r.Digest)
+	if r.LimitedCallers > 0 {
+		fmt.Fprintf(w, "rate limits: %d of %d callers, %s operations per second together\n", r.LimitedCallers, r.Callers,
+			number(r.TotalRate))
+	}
 }
 
 type diffResult struct {
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -58,6 +58,7 @@
 	for _, silent := range r.Silent {
 		fmt.Fprintf(w, "%s\t-\t%s\n", silent.Address, silent.Problem)
 	}
+	writeCallers(w, r.Instances)
 	for _, s := range r.Instances {
 		writePeers(w, s)
 	}
--- a/pkg/transport/admin/status.go
+++ b/pkg/transport/admin/status.go
@@ -49,6 +49,7 @@
 	SessionMarks      int           `json:"session_marks"`
 	Groups            []GroupStatus `json:"groups"`
 	Peers             []PeerStatus  `json:"peers"`
+	Callers           CallersStatus `json:"callers"`
 }
 
 // GroupStatus is an instance's view of a group.
