--- /dev/null
+++ b/pkg/state/quota/machine.go
@@ -0,0 +1,229 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+// Machine is the state of one member. It is not safe for concurrent use.
+type Machine struct {
+	config  Config
+	now     time.Duration
+	callers map[model.CallerName]*caller
+	// names holds the keys of callers in order.
+	names []model.CallerName
+
+	// registeredAt is when this instance was first seen as a member.
+	registered   bool
+	registeredAt time.Duration
+	confirmedAt  time.Duration
+	membersHash  uint64
+	// peers holds the other members, and those that were removed a short time
+	// ago, ordered by ID.
+	peers []*peer
+
+	group group
+	// active is until when reports are sent without a change.
+	activeUntil time.Duration
+	lastSent    time.Duration
+	// retired holds the use of callers that have no limit any more. The use that is
+	// reported of a caller must not fall when it gets a limit again.
+	retired map[model.CallerName]uint64
+}
+
+// peer is another member.
+type peer struct {
+	id model.InstanceID
+	// removedAt is when the members no longer contained the peer; zero for never.
+	removedAt time.Duration
+	// heardAt is when its newest report arrived, or when it became a member.
+	heardAt time.Duration
+	// heard is set once a report has arrived, whose time is sent.
+	heard bool
+	sent  uint64
+	// echo is the time of the newest report of this member that the peer has
+	// confirmed; zero for none.
+	echo uint64
+	// group is what the peer says of its group.
+	group uint64
+	// lastGroup is the group that the peer has relied on last.
+	lastGroup uint64
+	// silent is set while the peer is assumed to spend an equal share.
+	silent bool
+	// wants is set while the peer waits for a report.
+	wants bool
+	// sentAt is when the last report was sent to the peer.
+	sentAt time.Duration
+	use    map[model.CallerName]*peerUse
+}
+
+// peerUse is the use of a caller at a peer.
+type peerUse struct {
+	used   uint64
+	demand float64
+}
+
+// New returns the machine of a member that knows neither members nor limits.
+func New(config Config) *Machine {
+	return &Machine{config: config, callers: make(map[model.CallerName]*caller), retired: make(map[model.CallerName]uint64)}
+}
+
+// advance moves the time forward. A clock that goes back is ignored.
+func (m *Machine) advance(now time.Duration) { m.now = max(m.now, now) }
+
+// SetLimits replaces the limits. A caller whose Rate is not positive, and one
+// that is missing, has no limit.
+func (m *Machine) SetLimits(now time.Duration, limits []Limit) {
+	m.advance(now)
+	kept := make(map[model.CallerName]*caller, len(limits))
+	m.names = m.names[:0]
+	for _, limit := range limits {
+		if !(limit.Rate > 0) || limit.Caller == "" || kept[limit.Caller] != nil {
+			continue
+		}
+		c := m.callers[limit.Caller]
+		if c == nil {
+			c = m.newCaller(limit)
+		} else {
+			m.fill(c, m.now)
+			c.setLimit(m, limit)
+		}
+		kept[limit.Caller] = c
+		m.names = append(m.names, limit.Caller)
+	}
+	slices.Sort(m.names)
+	for name := range m.callers {
+		if kept[name] == nil {
+			m.forget(name)
+		}
+	}
+	m.callers = kept
+}
+
+func (m *Machine) forget(name model.CallerName) {
+	if len(m.retired) >= maxRetired {
+		clear(m.retired)
+	}
+	m.retired[name] = m.callers[name].used
+	for _, p := range m.peers {
+		delete(p.use, name)
+	}
+}
+
+// Limited reports whether there is any limit.
+func (m *Machine) Limited() bool { return len(m.callers) > 0 }
+
+// SetMembers replaces the registered instances; nil while this instance is not
+// one of them. confirmedAt is when they were last known to be current.
+func (m *Machine) SetMembers(now time.Duration, ids []model.InstanceID, confirmedAt time.Duration) {
+	m.advance(now)
+	m.confirmedAt = max(m.confirmedAt, confirmedAt)
+	member := slices.Contains(ids, m.config.Self)
+	if member && !m.registered {
+		m.registeredAt = m.now
+	}
+	hash := hashIDs(ids)
+	if member == m.registered && hash == m.membersHash {
+		m.updatePeers()
+		return
+	}
+	m.fillAll()
+	m.registered, m.membersHash = member, hash
+	for _, p := range m.peers {
+		if p.removedAt == 0 && !slices.Contains(ids, p.id) {
+			p.removedAt = m.now
+		}
+	}
+	for _, id := range ids {
+		if id != m.config.Self {
+			m.addPeer(id)
+		}
+	}
+	slices.SortFunc(m.peers, func(a, b *peer) int { return cmp.Compare(a.id, b.id) })
+	m.updatePeers()
+}
+
+func (m *Machine) addPeer(id model.InstanceID) {
+	if p := m.peer(id); p != nil {
+		p.removedAt = 0
+		return
+	}
+	m.peers = append(m.peers, &peer{id: id, heardAt: m.now, use: make(map[model.CallerName]*peerUse)})
+}
+
+func (m *Machine) peer(id model.InstanceID) *peer {
+	for _, p := range m.peers {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// size returns the number of members, with those that were removed a short time
+// ago.
+func (m *Machine) size() float64 { return float64(len(m.peers) + 1) }
+
+// updatePeers forgets former members, begins to charge for silent ones, and
+// updates the group.
+func (m *Machine) updatePeers() {
+	for _, p := range m.peers {
+		expired := m.now-p.removedAt > formerFor || m.config.Rules.NoFormerMembers
+		if p.removedAt != 0 && expired {
+			m.fillAll()
+			m.peers = slices.DeleteFunc(slices.Clone(m.peers), func(other *peer) bool { return other == p })
+			m.group.changed = true
+			if m.silentPeers() == 0 {
+				m.dropCredit()
+			}
+			continue
+		}
+		if !p.silent && m.now-p.heardAt > silentAfter {
+			m.fillAll()
+			p.silent = true
+			for _, c := range m.callers {
+				m.charge(c, m.now-p.heardAt)
+			}
+		}
+	}
+	m.updateGroup()
+}
+
+// charge takes from the bucket what a silent member may have spent in a time.
+func (m *Machine) charge(c *caller, silence time.Duration) {
+	if m.config.Rules.NoSilenceCharge {
+		return
+	}
+	spent := c.rate * silence.Seconds() / m.size()
+	c.tokens -= spent
+	c.credit += spent
+	c.bound(m)
+}
+
+// dropCredit forgets what was charged for silent members, once there are none.
+func (m *Machine) dropCredit() {
+	for _, c := range m.callers {
+		c.credit = 0
+	}
+}
+
+func (m *Machine) silentPeers() float64 {
+	silent := 0.0
+	for _, p := range m.peers {
+		if p.silent {
+			silent++
+		}
+	}
+	return silent
+}
+
+// fillAll brings all buckets up to date before a change of what they are filled
+// with.
+func (m *Machine) fillAll() {
+	for _, c := range m.callers {
+		m.fill(c, m.now)
+	}
+}
--- /dev/null
+++ b/pkg/state/quota/simulation_test.go
@@ -0,0 +1,354 @@
+package quota_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/quota"
+)
+
+const (
+	hot   = model.CallerName("hot")
+	small = model.CallerName("small")
+	step  = 25 * time.Millisecond
+)
+
+// chooser returns a number from 0 to n-1. It makes all choices of a simulation.
+type chooser func(n int) int
+
+// member is a member under test: a real Machine, on a clock that starts at a
+// time and runs at a rate of its own.
+type member struct {
+	id         model.InstanceID
+	clockStart time.Duration
+	// clockRate is the speed of the clock in thousandths of the simulated time.
+	clockRate   time.Duration
+	machine     *quota.Machine
+	lost        bool
+	frozenUntil time.Duration
+	storeCut    bool
+	nextTick    time.Duration
+	limitAt     time.Duration
+	limit       quota.Limit
+	// demand is the operations of the hot caller in each step, in hundredths.
+	demand int
+	owed   int
+}
+
+func (n *member) clock(now time.Duration) time.Duration {
+	return n.clockStart + now*n.clockRate/1000
+}
+
+// delivery is a message in flight.
+type delivery struct {
+	at     time.Duration
+	from   model.InstanceID
+	to     *member
+	report quota.Report
+}
+
+// simulation consists of the members of a region, the links between them, and
+// the store with the list of members.
+type simulation struct {
+	pick      chooser
+	rules     quota.Rules
+	tolerance quota.Tolerance
+	limit     quota.Limit
+	now       time.Duration
+	members   []*member
+	listed    []model.InstanceID
+	// cut holds the directions in which no message arrives, and slow those with a
+	// long delay.
+	cut      map[[2]model.InstanceID]bool
+	slow     map[[2]model.InstanceID]time.Duration
+	inFlight []delivery
+	due      []delivery
+	evictAt  map[model.InstanceID]time.Duration
+	runs     []time.Duration
+	// limits holds the highest rate and the highest burst of a member in each step
+	// of the last window.
+	limits []quota.Limit
+	// peak is the largest number of runs in a window, as a part of the bound.
+	peak  float64
+	trace func(string, *member)
+}
+
+func newSimulation(pick chooser, rules quota.Rules) *simulation {
+	rates := []float64{2, 20, 100}
+	bursts := []float64{2, 20, 150}
+	s := &simulation{
+		pick: pick, rules: rules,
+		tolerance: quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 10},
+		limit:     quota.Limit{Caller: hot, Rate: rates[pick(3)], Burst: bursts[pick(3)]},
+		cut:       make(map[[2]model.InstanceID]bool),
+		slow:      make(map[[2]model.InstanceID]time.Duration),
+		evictAt:   make(map[model.InstanceID]time.Duration),
+	}
+	for range 2 + pick(4) {
+		s.join()
+	}
+	return s
+}
+
+func (s *simulation) join() {
+	n := &member{
+		id:         model.InstanceID(fmt.Sprintf("i%d", len(s.members)+1)),
+		clockStart: time.Duration(1+s.pick(100000)) * time.Millisecond,
+		clockRate:  time.Duration(980 + s.pick(41)),
+		limit:      s.limit,
+	}
+	n.machine = quota.New(quota.Config{Self: n.id, Tolerance: s.tolerance, Rules: s.rules})
+	s.setLimit(n)
+	s.members = append(s.members, n)
+	s.listed = append(slices.Clone(s.listed), n.id)
+	n.demand = s.pick(200)
+}
+
+func (s *simulation) setLimit(n *member) {
+	n.machine.SetLimits(n.clock(s.now), []quota.Limit{n.limit, {Caller: small, Rate: 5, Burst: 5}})
+}
+
+// live returns a member that runs, or nil.
+func (s *simulation) live() *member {
+	n := s.members[s.pick(len(s.members))]
+	if n.lost {
+		return nil
+	}
+	return n
+}
+
+// event brings about one failure, or ends one.
+func (s *simulation) event() {
+	n := s.live()
+	if n == nil {
+		return
+	}
+	other := s.members[s.pick(len(s.members))]
+	kind := s.pick(18)
+	if s.trace != nil {
+		s.trace(fmt.Sprint("event ", kind), n)
+	}
+	switch kind {
+	case 0:
+		s.cut[[2]model.InstanceID{n.id, other.id}] = true
+	case 1:
+		s.cut[[2]model.InstanceID{n.id, other.id}] = true
+		s.cut[[2]model.InstanceID{other.id, n.id}] = true
+	case 2:
+		for _, m := range s.members {
+			s.cut[[2]model.InstanceID{n.id, m.id}] = true
+			s.cut[[2]model.InstanceID{m.id, n.id}] = true
+		}
+		n.storeCut = s.pick(2) == 0
+	case 3:
+		s.split()
+	case 4, 5:
+		clear(s.cut)
+		clear(s.slow)
+		for _, m := range s.members {
+			m.storeCut = false
+		}
+	case 6:
+		n.frozenUntil = s.now + time.Duration(s.pick(60))*100*time.Millisecond
+	case 7:
+		s.lose(n)
+		if s.pick(2) == 0 {
+			s.join()
+		}
+	case 8:
+		if len(s.listed) < 8 {
+			s.join()
+		}
+	case 9:
+		n.storeCut = !n.storeCut
+	case 10:
+		s.slow[[2]model.InstanceID{n.id, other.id}] = time.Duration(s.pick(30)) * 100 * time.Millisecond
+	case 11:
+		s.changeLimit()
+	case 12, 13, 14:
+		s.moveDemand(n)
+	default:
+		n.demand = []int{0, 20, 100, 400}[s.pick(4)]
+	}
+}
+
+// moveDemand moves all demand to one member, or ends it.
+func (s *simulation) moveDemand(n *member) {
+	for _, m := range s.members {
+		m.demand = 0
+	}
+	if s.pick(3) != 0 {
+		n.demand = 800
+	}
+}
+
+// split cuts the members into two parts.
+func (s *simulation) split() {
+	for i, a := range s.members {
+		for j, b := range s.members {
+			if i%2 != j%2 {
+				s.cut[[2]model.InstanceID{a.id, b.id}] = true
+			}
+		}
+	}
+}
+
+func (s *simulation) changeLimit() {
+	factors := []float64{0.25, 0.5, 2, 4}
+	s.limit.Rate = min(max(s.limit.Rate*factors[s.pick(4)], 2), 200)
+	s.limit.Burst = min(max(s.limit.Burst*factors[s.pick(4)], 2), 200)
+	for _, m := range s.members {
+		m.limitAt = s.now + time.Duration(s.pick(40))*100*time.Millisecond
+	}
+}
+
+func (s *simulation) lose(n *member) {
+	n.lost = true
+	s.evictAt[n.id] = s.now + 4*time.Second
+}
+
+// evict removes the members that were lost or cut off from the store for long.
+func (s *simulation) evict() {
+	for _, n := range s.members {
+		_, pending := s.evictAt[n.id]
+		if !pending && n.storeCut {
+			s.evictAt[n.id] = s.now + 4*time.Second
+		}
+		if pending && !n.lost && !n.storeCut {
+			delete(s.evictAt, n.id)
+			if !slices.Contains(s.listed, n.id) {
+				s.listed = append(slices.Clone(s.listed), n.id)
+			}
+		}
+		if at, pending := s.evictAt[n.id]; pending && s.now >= at {
+			s.listed = slices.DeleteFunc(slices.Clone(s.listed), func(id model.InstanceID) bool { return id == n.id })
+		}
+	}
+}
+
+// poll tells a member what the store lists.
+func (s *simulation) poll(n *member) {
+	if n.storeCut || s.pick(4) != 0 {
+		return
+	}
+	n.machine.SetMembers(n.clock(s.now), s.listed, n.clock(s.now))
+}
+
+// tick runs the periodic work of a member.
+func (s *simulation) tick(n *member) {
+	s.poll(n)
+	if n.limitAt != 0 && s.now >= n.limitAt {
+		n.limit, n.limitAt = s.limit, 0
+		s.setLimit(n)
+	}
+	for _, out := range n.machine.Tick(n.clock(s.now)) {
+		s.send(n, out)
+	}
+}
+
+// send sends a report, which may be lost or late.
+func (s *simulation) send(from *member, out quota.Outgoing) {
+	link := [2]model.InstanceID{from.id, out.To}
+	if s.cut[link] || s.pick(50) == 0 {
+		return
+	}
+	at := slices.IndexFunc(s.members, func(n *member) bool { return n.id == out.To })
+	to := s.members[at]
+	delay := s.slow[link] + time.Duration(1+s.pick(10))*time.Millisecond
+	s.inFlight = append(s.inFlight, delivery{at: s.now + delay, from: from.id, to: to, report: out.Report})
+}
+
+// deliver delivers what has arrived. A frozen member finds it when it wakes up.
+func (s *simulation) deliver() {
+	rest, due := s.inFlight[:0], s.due[:0]
+	for _, message := range s.inFlight {
+		switch {
+		case message.at > s.now || message.to.frozenUntil > s.now:
+			rest = append(rest, message)
+		case !message.to.lost:
+			due = append(due, message)
+		}
+	}
+	s.inFlight, s.due = rest, due
+	slices.SortStableFunc(due, func(a, b delivery) int { return cmp.Compare(a.at, b.at) })
+	for _, message := range due {
+		message.to.machine.Receive(message.to.clock(s.now), message.from, message.report)
+	}
+}
+
+// ask asks a member for operations.
+func (s *simulation) ask(n *member) {
+	n.owed += int(float64(n.demand) * max(1, s.limit.Rate/20))
+	for ; n.owed >= 100; n.owed -= 100 {
+		if admitted, _ := n.machine.Admit(n.clock(s.now), hot); !admitted {
+			continue
+		}
+		if s.pick(100) == 0 {
+			n.machine.Refund(n.clock(s.now), hot)
+			continue
+		}
+		s.runs = append(s.runs, s.now)
+		if s.trace != nil {
+			s.trace("run", n)
+		}
+	}
+	if s.pick(10) == 0 {
+		n.machine.Admit(n.clock(s.now), small)
+	}
+}
+
+// check compares the runs of the last window with the limit. In a window in which
+// the limit changed, the highest rate and the highest burst of a member count.
+func (s *simulation) check() error {
+	var highest quota.Limit
+	for _, n := range s.members {
+		if !n.lost {
+			highest.Rate, highest.Burst = max(highest.Rate, n.limit.Rate), max(highest.Burst, n.limit.Burst)
+		}
+	}
+	s.limits = append(s.limits, highest)
+	if window := int(s.tolerance.Window/step) + 1; len(s.limits) > window {
+		s.limits = s.limits[1:]
+	}
+	for len(s.runs) > 0 && s.runs[0] <= s.now-s.tolerance.Window {
+		s.runs = s.runs[1:]
+	}
+	for _, limit := range s.limits {
+		highest.Rate, highest.Burst = max(highest.Rate, limit.Rate), max(highest.Burst, limit.Burst)
+	}
+	bound := (highest.Rate*s.tolerance.Window.Seconds()+highest.Burst)*(1+s.tolerance.Overage) + s.tolerance.Slack
+	s.peak = max(s.peak, float64(len(s.runs))/bound)
+	if float64(len(s.runs)) > bound {
+		return fmt.Errorf("%d operations in a window at %v, above %.1f", len(s.runs), s.now, bound)
+	}
+	return nil
+}
+
+// run simulates a number of steps with an event in one of 15 of them.
+func (s *simulation) run(steps int) error {
+	for range steps {
+		s.now += step
+		if s.pick(15) == 0 {
+			s.event()
+		}
+		s.evict()
+		s.deliver()
+		for _, n := range s.members {
+			if n.lost || n.frozenUntil > s.now {
+				continue
+			}
+			s.ask(n)
+			if s.now >= n.nextTick {
+				n.nextTick = s.now + 100*time.Millisecond
+				s.tick(n)
+			}
+		}
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
