Rates over all instances: service, reports over the mesh, hook in the caller's protocol

Cause: the state machine of rates is not in use yet. Change: pkg/coordination/quota runs it; reports travel as Envelope.usage_report; textfront counts a unit of work when it first asks for a connection and refuses one over the limit.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -17,6 +17,7 @@
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/coordination/headstore"
 	store "gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/quota"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/state/failover"
@@ -105,6 +106,7 @@
 	loop     *region.Loop
 	mesh     *mesh.Node
 	front    *textfront.Server
+	rates    *quota.Service
 	ready    *http.Server
 	stopping atomicFlag
 	wasReady atomicFlag
@@ -155,11 +157,13 @@
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
 	}
+	h.rates = h.newRates(peers)
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
+		Rates: h.rates,
 	})
 	h.mesh = mesh.New(mesh.Config{
-		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front}, Logger: h.logger,
+		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: hostedPeer{loop: h.loop, front: h.front, rates: h.rates}, Logger: h.logger,
 	})
 	h.mesh.SetSeeds(h.seeds())
 	peers.SetNode(h.mesh)
@@ -263,6 +267,7 @@
 	defer stopBackground()
 	go func() { _ = h.ready.Serve(listener) }()
 	go h.watchConnectivity(background)
+	go h.rates.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- h.front.Serve() }()
 	for {
--- a/pkg/instance/hostedpeer.go
+++ b/pkg/instance/hostedpeer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"gypsumdock/pkg/coordination/quota"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
@@ -16,6 +17,7 @@
 type hostedPeer struct {
 	loop  *region.Loop
 	front *textfront.Server
+	rates *quota.Service
 }
 
 var _ mesh.Handler = hostedPeer{}
@@ -39,6 +41,10 @@
 		go p.answerRegion(ask, reply)
 		return
 	}
+	if report := message.GetUsageReport(); report != nil {
+		p.rates.Receive(from, meshlink.DecodeUsage(report))
+		return
+	}
 	decoded, found := meshlink.Decode(message)
 	if !found {
 		reply(meshlink.EncodeFailure("no answer to this message"))
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -44,6 +44,16 @@
 	AdmissionRefused = counter("gypsumdock_admission_refused_total", "Units of work refused because they would miss their deadline.", "group")
 )
 
+// Metrics of the rate limits of callers. The first 100 callers by name have a
+// series each, the others share one with the name other.
+var (
+	QuotaUsed    = counter("gypsumdock_quota_used_total", "Units of work of a caller with a rate limit that this instance admitted.", "caller")
+	QuotaRefused = counter("gypsumdock_quota_refused_total", "Units of work of a caller that this instance refused because the caller is over its rate limit.", "caller")
+	QuotaTokens  = gauge("gypsumdock_quota_tokens", "Units of work that a caller may run at once over all instances, by the knowledge of this one; negative while use that was reported late is paid back.", "caller")
+	QuotaReports = counter("gypsumdock_quota_reports_total", "Reports of the use of callers sent to other members.")
+	QuotaInvalid = counter("gypsumdock_quota_invalid_total", "Entries of reports of use that were dropped because they are invalid.")
+)
+
 // Metrics of the configuration, the platform, and the instance's checks of
 // itself.
 var (
--- a/pkg/transport/textfront/failures.go
+++ b/pkg/transport/textfront/failures.go
@@ -10,6 +10,9 @@
 // refusalFailure returns the failure of a unit that got no upstream: nothing of
 // it has run.
 func refusalFailure(u *unit) statement.Failure {
+	if u.isOverRate() {
+		return u.overRateFailure()
+	}
 	text := "not run"
 	if u.refusal != nil {
 		text = notRunText(u.refusal.Reason.String(), u.refusal.RetryAfter)
--- a/pkg/transport/textfront/recorder.go
+++ b/pkg/transport/textfront/recorder.go
@@ -82,6 +82,9 @@
 		slog.Int("tries", u.attempts),
 		slog.Duration("age", now-u.spec.Arrived),
 	}
+	if u.spec.Caller != "" {
+		attrs = append(attrs, slog.String("caller", string(u.spec.Caller)))
+	}
 	if u.placement != nil {
 		attrs = append(attrs,
 			slog.String("upstream", string(u.placement.Upstream)),
@@ -130,6 +133,10 @@
 // refused records a unit that got no upstream.
 func (r *recorder) refused(u *unit, request statement.Request) {
 	cause := ""
+	if u.isOverRate() {
+		r.failure(u, request, statement.FailOverloaded, "not_run", overRateReason)
+		return
+	}
 	if u.refusal != nil {
 		cause = u.refusal.Reason.String()
 	}
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -31,6 +31,8 @@
 	Forwarder *textforward.Forwarder
 	Logger    *slog.Logger
 	Stop      StopTimes
+	// Rates limits the units of work of callers; nil for no limits.
+	Rates Rates
 }
 
 // StopTimes holds the schedule of a graceful stop. All times count from its
--- a/pkg/transport/textfront/single.go
+++ b/pkg/transport/textfront/single.go
@@ -50,6 +50,7 @@
 // refuse answers a statement that could not be placed on an upstream, or whose
 // attempts all failed. Nothing of it is kept.
 func (u *single) refuse() {
+	u.refundRate()
 	s := u.session
 	s.out = s.codec().AppendFailure(s.out, refusalFailure(u.unit))
 	s.noPermit = u.lacksPermit()
--- a/pkg/transport/textfront/transaction.go
+++ b/pkg/transport/textfront/transaction.go
@@ -124,6 +124,7 @@
 			break
 		}
 	}
+	tx.refundRate()
 	s := tx.session
 	s.noPermit = tx.lacksPermit()
 	s.server.recorder.refused(tx.unit, request)
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -52,6 +52,7 @@
 	conn      *textback.Conn
 	// refusal says why the last call of acquire failed.
 	refusal *dispatch.Refusal
+	rate    rateState
 }
 
 func newUnit(s *session, route *catalog.Route, needsPrimary bool) *unit {
@@ -98,6 +99,9 @@
 // tries other upstreams until the deadline. If it returns false, nothing of the
 // unit has run and refusal is set.
 func (u *unit) acquire(checkAlive bool) bool {
+	if !u.admitRate() {
+		return false
+	}
 	for u.attempts < maxAttempts && !u.isPastDeadline() {
 		u.attempts++
 		placement, refusal := u.dispatch().Acquire(u.session.server.ctx, u.route.Group, &u.spec)
@@ -187,6 +191,7 @@
 func (u *unit) exchange(data []byte, deadline time.Duration) (*statement.Answer, error) {
 	sentAt := u.dispatch().Now()
 	u.dispatch().Sent(u.route.Group, u.placement)
+	u.rate.sent = true
 	answer, err := u.conn.Exchange(data, u.wallTime(deadline))
 	if err != nil && !textback.IsTimeout(err) {
 		u.dispatch().ConnectionLost(u.route.Group, u.placement)
