Rates over all instances: refusals below the limit

Cause: idle members were not in touch, so that no group formed under uneven demand; shares flickered between two operations; silence while idle shrank the bucket. Change: all members report while one is active; the demand falls slower than it rises; each member may exceed its share by its part of the tolerance; use that silent members report replaces what was charged for them.

--- a/pkg/state/quota/bucket.go
+++ b/pkg/state/quota/bucket.go
@@ -17,6 +17,9 @@
 	// filledAt. It is negative while use that was reported late is paid back.
 	tokens   float64
 	filledAt time.Duration
+	// known is the same without what silent members may spend. It takes the place of
+	// tokens once all of them have reported their use.
+	known float64
 	// forgiven is the debt that was dropped in the last limitSpread before
 	// forgivenAt. It counts when the limit is raised here later than elsewhere.
 	forgiven   float64
@@ -74,6 +77,7 @@
 	}
 	if m.config.Rules.FullStart {
 		c.tokens = c.capacity(m)
+		c.known = c.tokens
 	}
 	return c
 }
@@ -84,8 +88,10 @@
 	before := c.capacity(m)
 	c.rate, c.burst = limit.Rate, max(limit.Burst, 0)
 	c.tokens += c.capacity(m) - before
+	c.known += c.capacity(m) - before
 	if m.now-c.forgivenAt < limitSpread {
 		c.tokens -= c.forgiven
+		c.known -= c.forgiven
 	}
 	c.forgiven = 0
 	c.alone = min(c.alone, c.aloneCapacity(m))
@@ -94,8 +100,12 @@
 
 // capacity returns the most tokens that the members in touch can have.
 func (c *caller) capacity(m *Machine) float64 {
-	capacity := max(1, c.burst) + burstPart*m.config.Tolerance.operations(c.rate, c.burst)
-	return max(1, capacity*(m.size()-m.group.silent)/m.size())
+	return max(1, c.fullCapacity(m)*(m.size()-m.group.silent)/m.size())
+}
+
+// fullCapacity returns the most tokens of the region.
+func (c *caller) fullCapacity(m *Machine) float64 {
+	return max(1, c.burst) + burstPart*m.config.Tolerance.operations(c.rate, c.burst)
 }
 
 // aloneCapacity returns the most tokens of a member without a group.
@@ -117,6 +127,7 @@
 		c.tokens = lowest
 	}
 	c.tokens = min(c.tokens, c.capacity(m))
+	c.known = min(max(c.known, lowest), c.fullCapacity(m))
 }
 
 // fill brings the bucket up to date. What silent members may spend is taken
@@ -133,6 +144,7 @@
 	}
 	c.credit += silent
 	c.tokens = min(c.tokens+c.rate*passed-silent, c.capacity(m))
+	c.known = min(c.known+c.rate*passed, c.fullCapacity(m))
 }
 
 // fillAlone brings the bucket of a member without a group up to date. When the
@@ -199,14 +211,14 @@
 	if m.config.Rules.NoUnackedBound {
 		return c.tokens
 	}
-	return max(0, min(c.tokens, m.share(c)*(c.tokens+unacked)-unacked))
+	return max(0, min(c.tokens, m.share(c)*(c.tokens+unacked)+c.extra(m)-unacked))
 }
 
-// isSingle reports whether this member may take one token although its share is
-// smaller, as the tolerance covers all members doing so at once.
-func (c *caller) isSingle(m *Machine) bool {
-	return c.used <= c.acked.used && c.tokens >= 1 &&
-		m.size()-1 <= singlePart*m.config.Tolerance.operations(c.rate, c.burst)
+// extra returns by how much each member may exceed its share, as the tolerance
+// covers all members doing so at once. A member may take at least one token that way
+// if the tolerance has room for one of each.
+func (c *caller) extra(m *Machine) float64 {
+	return singlePart * m.config.Tolerance.operations(c.rate, c.burst) / max(1, m.size()-1)
 }
 
 // Admit decides on one operation of a caller. If it may not run, retryAfter is
@@ -223,7 +235,7 @@
 	c.confirm(m.group.acked)
 	if m.inGroup() {
 		m.fill(c, m.now)
-		if c.spendable(m) < 1 && !c.isSingle(m) {
+		if c.spendable(m) < 1 {
 			return false, m.retryAfter(c, c.tokens, m.share(c))
 		}
 	} else {
@@ -236,6 +248,7 @@
 	}
 	c.used++
 	c.tokens--
+	c.known--
 	c.bound(m)
 	return true, 0
 }
@@ -267,6 +280,7 @@
 	m.fill(c, m.now)
 	c.used--
 	c.tokens++
+	c.known++
 	c.bound(m)
 	if !m.inGroup() && c.aloneFor == m.group.number {
 		c.alone = min(c.alone+1, c.aloneCapacity(m))
--- a/pkg/state/quota/config.go
+++ b/pkg/state/quota/config.go
@@ -85,6 +85,8 @@
 	// its limit, and answerInterval that between two reports without a change.
 	usualInterval  = time.Second
 	answerInterval = 200 * time.Millisecond
+	// wantedFor is how long reports go on after a report of an active member.
+	wantedFor = time.Second
 	// activeFor is how long reports go on after the last operation of a limited
 	// caller. It spares a member that is used every few seconds the time in which
 	// a group forms.
@@ -95,12 +97,17 @@
 	// that a member whose demand rises has tokens before its share has risen.
 	equalPart = 0.3
 	// burstPart is the part of the tolerance that is added to a burst, and
-	// singlePart the part that may be used by members that take one token each
-	// at the same time. The rest covers members with different views.
+	// singlePart the part by which all members together may exceed their shares.
+	// The rest covers members with different views.
 	burstPart  = 0.25
 	singlePart = 0.6
-	// demandGain is the weight of the newest report interval in the demand.
-	demandGain = 0.4
+	// reportInterval is the time between two calls of Tick. riseGain is the weight
+	// of the newest interval in a demand that rises, and fallGain in one that
+	// falls. With equal weights the share of a member with a few operations per
+	// second fell below one token between two of them.
+	reportInterval = 100 * time.Millisecond
+	riseGain       = 0.3
+	fallGain       = 0.1
 	// limitSpread is how long a new limit takes to be known to all members.
 	limitSpread = 5 * time.Second
 	// maxRetired bounds the callers without a limit whose use is kept.
--- a/pkg/state/quota/machine.go
+++ b/pkg/state/quota/machine.go
@@ -26,8 +26,11 @@
 	peers []*peer
 
 	group group
-	// active is until when reports are sent without a change.
+	// activeUntil is until when reports are sent without a change because of this
+	// member's use, and wantedUntil because of that of another one. All members
+	// send reports then, as a group forms only if all know of each other.
 	activeUntil time.Duration
+	wantedUntil time.Duration
 	lastSent    time.Duration
 	// retired holds the use of callers that have no limit any more. The use that is
 	// reported of a caller must not fall when it gets a limit again.
@@ -53,8 +56,6 @@
 	lastGroup uint64
 	// silent is set while the peer is assumed to spend an equal share.
 	silent bool
-	// wants is set while the peer waits for a report.
-	wants bool
 	// sentAt is when the last report was sent to the peer.
 	sentAt time.Duration
 	use    map[model.CallerName]*peerUse
@@ -203,10 +204,21 @@
 	c.bound(m)
 }
 
-// dropCredit forgets what was charged for silent members, once there are none.
+// dropCredit forgets what was charged for silent members, once there are none. What
+// a removed one has used and not reported stays charged.
 func (m *Machine) dropCredit() {
 	for _, c := range m.callers {
 		c.credit = 0
+		c.known = c.tokens
+	}
+}
+
+// useKnown replaces what was charged for silent members by their use, once all of
+// them have reported it.
+func (m *Machine) useKnown() {
+	for _, c := range m.callers {
+		c.credit = 0
+		c.tokens = c.known
 	}
 }
 
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -113,8 +113,12 @@
 			continue
 		}
 		c.confirm(m.group.acked)
-		gain := min(1, demandGain*interval*10)
-		c.demand += gain * (c.asked/interval - c.demand)
+		asked := c.asked / interval
+		gain := fallGain
+		if asked > c.demand {
+			gain = riseGain
+		}
+		c.demand += min(1, gain*interval/reportInterval.Seconds()) * (asked - c.demand)
 		c.asked = 0
 		if m.now-c.lastUse > 2*time.Second {
 			c.demand = 0
@@ -147,10 +151,10 @@
 			report.Usage = append(report.Usage, Usage{Caller: name, Used: last.used, Demand: last.demand})
 		}
 	}
-	due := len(report.Usage) > 0 && (m.now < m.activeUntil || p.wants) || (report.Active || p.wants) && m.now-p.sentAt >= answerInterval
+	wanted := report.Active || m.now < m.wantedUntil
+	due := wanted && (len(report.Usage) > 0 || m.now-p.sentAt >= answerInterval)
 	if due {
 		p.sentAt = m.now
-		p.wants = false
 	}
 	return report, due
 }
@@ -176,14 +180,16 @@
 	p.sent, p.echo, p.group = report.Sent, max(p.echo, report.Echo), report.Group
 	p.lastGroup = report.LastGroup
 	p.heard, p.silent, p.heardAt = true, false, m.now
-	p.wants = p.wants || report.Active
+	if report.Active {
+		m.wantedUntil = m.now + wantedFor
+	}
 	for _, usage := range report.Usage {
 		if !m.receiveUsage(p, usage, wasSilent, first) {
 			dropped++
 		}
 	}
 	if wasSilent && m.silentPeers() == 0 {
-		m.dropCredit()
+		m.useKnown()
 	}
 	m.updateGroup()
 	return dropped
@@ -215,6 +221,7 @@
 	}
 	m.fill(c, m.now)
 	spent := float64(usage.Used - use.used)
+	c.known -= spent
 	if wasSilent {
 		covered := min(spent, c.credit)
 		spent -= covered
