--- a/pkg/state/quota/config.go
+++ b/pkg/state/quota/config.go
@@ -70,10 +70,10 @@
 	// apart, so that nobody relies on the earlier group by then.
 	leaseTime  = 600 * time.Millisecond
 	settleTime = 800 * time.Millisecond
-	// silentAfter is the silence after which a member is assumed to spend an
-	// equal share. It exceeds leaseTime, after which that member limits itself
-	// to it.
-	silentAfter = time.Second
+	// silentAfter is the time out of touch after which a member is assumed to
+	// spend an equal share. By then that member limits itself to it, and no group
+	// without it has formed yet.
+	silentAfter = settleTime
 	// confirmedFor is how long the members count as current after they were
 	// confirmed. A new member waits for joinWait, and a removed one is counted
 	// for formerFor, so that a member which does not know of the change has
@@ -99,7 +99,7 @@
 	// burstPart is the part of the tolerance that is added to a burst, and
 	// singlePart the part by which all members together may exceed their shares.
 	// The rest covers members with different views.
-	burstPart  = 0.25
+	burstPart  = 0.2
 	singlePart = 0.6
 	// reportInterval is the time between two calls of Tick. riseGain is the weight
 	// of the newest interval in a demand that rises, and fallGain in one that
--- a/pkg/state/quota/machine.go
+++ b/pkg/state/quota/machine.go
@@ -42,8 +42,11 @@
 	id model.InstanceID
 	// removedAt is when the members no longer contained the peer; zero for never.
 	removedAt time.Duration
-	// heardAt is when its newest report arrived, or when it became a member.
+	// heardAt is when its newest report arrived.
 	heardAt time.Duration
+	// touchedAt is when the two members were in touch last, or when the peer became
+	// a member.
+	touchedAt time.Duration
 	// heard is set once a report has arrived, whose time is sent.
 	heard bool
 	sent  uint64
@@ -125,6 +128,7 @@
 	member := slices.Contains(ids, m.config.Self)
 	if member && !m.registered {
 		m.registeredAt = m.now
+		m.assumeFormer()
 	}
 	hash := hashIDs(ids)
 	if member == m.registered && hash == m.membersHash {
@@ -147,12 +151,21 @@
 	m.updatePeers()
 }
 
+// assumeFormer counts one removed member that a new member has not seen, as that one
+// may not know of its removal yet.
+func (m *Machine) assumeFormer() {
+	if m.config.Rules.NoFormerMembers {
+		return
+	}
+	m.peers = append(m.peers, &peer{removedAt: max(m.now, 1), touchedAt: m.now})
+}
+
 func (m *Machine) addPeer(id model.InstanceID) {
 	if p := m.peer(id); p != nil {
 		p.removedAt = 0
 		return
 	}
-	m.peers = append(m.peers, &peer{id: id, heardAt: m.now, use: make(map[model.CallerName]*peerUse)})
+	m.peers = append(m.peers, &peer{id: id, touchedAt: m.now, use: make(map[model.CallerName]*peerUse)})
 }
 
 func (m *Machine) peer(id model.InstanceID) *peer {
@@ -171,6 +184,7 @@
 // updatePeers forgets former members, begins to charge for silent ones, and
 // updates the group.
 func (m *Machine) updatePeers() {
+	returned := false
 	for _, p := range m.peers {
 		expired := m.now-p.removedAt > formerFor || m.config.Rules.NoFormerMembers
 		if p.removedAt != 0 && expired {
@@ -182,17 +196,35 @@
 			}
 			continue
 		}
-		if !p.silent && m.now-p.heardAt > silentAfter {
-			m.fillAll()
-			p.silent = true
-			for _, c := range m.callers {
-				m.charge(c, m.now-p.heardAt)
-			}
-		}
+		returned = m.updateSilence(p) || returned
+	}
+	if returned && m.silentPeers() == 0 {
+		m.useKnown()
 	}
 	m.updateGroup()
 }
 
+// updateSilence begins to charge for a peer that is out of touch, or ends it. It
+// returns true if the peer is in touch again.
+func (m *Machine) updateSilence(p *peer) (returned bool) {
+	if m.isLinked(p) {
+		returned = p.silent
+		p.touchedAt = m.now
+	}
+	if returned {
+		m.fillAll()
+		p.silent = false
+	}
+	if !p.silent && m.now-p.touchedAt >= silentAfter {
+		m.fillAll()
+		p.silent = true
+		for _, c := range m.callers {
+			m.charge(c, m.now-p.touchedAt)
+		}
+	}
+	return returned
+}
+
 // charge takes from the bucket what a silent member may have spent in a time.
 func (m *Machine) charge(c *caller, silence time.Duration) {
 	if m.config.Rules.NoSilenceCharge {
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -174,12 +174,12 @@
 		return 0
 	}
 	wasSilent, first := p.silent, !p.heard
-	if wasSilent {
-		m.fillAll()
+	if first {
+		m.chargeUnreported(p)
 	}
 	p.sent, p.echo, p.group = report.Sent, max(p.echo, report.Echo), report.Group
 	p.lastGroup = report.LastGroup
-	p.heard, p.silent, p.heardAt = true, false, m.now
+	p.heard, p.heardAt = true, m.now
 	if report.Active {
 		m.wantedUntil = m.now + wantedFor
 	}
@@ -188,13 +188,20 @@
 			dropped++
 		}
 	}
-	if wasSilent && m.silentPeers() == 0 {
-		m.useKnown()
-	}
-	m.updateGroup()
+	m.updatePeers()
 	return dropped
 }
 
+// chargeUnreported charges what a peer may have used before its first report,
+// which says only where it begins.
+func (m *Machine) chargeUnreported(p *peer) {
+	for _, c := range m.callers {
+		m.fill(c, m.now)
+		c.known -= c.rate * (m.now - p.touchedAt).Seconds() / m.size()
+		c.bound(m)
+	}
+}
+
 // receiveUsage charges what a peer has used since its last report. What was
 // charged while it was silent is not charged again. The first report of a peer
 // says where it begins, as does the first one after the caller got a limit here.
--- a/pkg/state/quota/simulation_test.go
+++ b/pkg/state/quota/simulation_test.go
@@ -50,10 +50,68 @@
 	report quota.Report
 }
 
+// event is a kind of failure or change.
+type event int
+
+const (
+	cutOneWay event = iota
+	cutBothWays
+	isolate
+	splitInTwo
+	heal
+	freeze
+	lose
+	joinOne
+	cutFromStore
+	slowDown
+	newLimit
+	moveDemand
+	rest
+	surge
+	changeDemand
+)
+
+// profile is a kind of schedule.
+type profile struct {
+	name string
+	// events holds the events, and every the mean number of steps between two.
+	events []event
+	every  int
+	// limit and members are chosen at random if they are zero.
+	limit   quota.Limit
+	members int
+	// evictAfter is how long after a loss a member is removed.
+	evictAfter time.Duration
+}
+
+var (
+	mixed = profile{
+		name: "mixed", every: 15, evictAfter: 4 * time.Second,
+		events: []event{
+			cutOneWay, cutBothWays, isolate, splitInTwo, heal, heal, freeze, lose, joinOne, cutFromStore, slowDown, newLimit,
+			moveDemand, moveDemand, rest, changeDemand, changeDemand,
+		},
+	}
+	links = profile{
+		name: "links", every: 15, evictAfter: 4 * time.Second, limit: quota.Limit{Caller: hot, Rate: 20, Burst: 150},
+		events: []event{cutOneWay, cutBothWays, isolate, splitInTwo, heal, heal, freeze, slowDown, moveDemand, rest},
+	}
+	demands = profile{
+		name: "demand", every: 4, evictAfter: 4 * time.Second, limit: quota.Limit{Caller: hot, Rate: 20, Burst: 150}, members: 4,
+		events: []event{moveDemand, moveDemand, moveDemand, surge, rest},
+	}
+	membership = profile{
+		name: "membership", every: 30, evictAfter: 500 * time.Millisecond, limit: quota.Limit{Caller: hot, Rate: 100, Burst: 2}, members: 2,
+		events: []event{isolate, lose, joinOne, cutFromStore, heal, changeDemand, changeDemand},
+	}
+	profiles = []profile{mixed, links, demands, membership}
+)
+
 // simulation consists of the members of a region, the links between them, and
 // the store with the list of members.
 type simulation struct {
 	pick      chooser
+	profile   profile
 	rules     quota.Rules
 	tolerance quota.Tolerance
 	limit     quota.Limit
@@ -65,6 +123,10 @@
 	cut      map[[2]model.InstanceID]bool
 	slow     map[[2]model.InstanceID]time.Duration
 	inFlight []delivery
+	// restUntil is the end of a span without events.
+	restUntil time.Duration
+	// steadyAt is when a steady demand begins in such a span.
+	steadyAt time.Duration
 	due      []delivery
 	evictAt  map[model.InstanceID]time.Duration
 	runs     []time.Duration
@@ -72,22 +134,28 @@
 	// of the last window.
 	limits []quota.Limit
 	// peak is the largest number of runs in a window, as a part of the bound.
-	peak  float64
-	trace func(string, *member)
+	peak float64
 }
 
-func newSimulation(pick chooser, rules quota.Rules) *simulation {
+func newSimulation(pick chooser, rules quota.Rules, p profile) *simulation {
 	rates := []float64{2, 20, 100}
 	bursts := []float64{2, 20, 150}
 	s := &simulation{
-		pick: pick, rules: rules,
+		pick: pick, rules: rules, profile: p,
 		tolerance: quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 10},
 		limit:     quota.Limit{Caller: hot, Rate: rates[pick(3)], Burst: bursts[pick(3)]},
 		cut:       make(map[[2]model.InstanceID]bool),
 		slow:      make(map[[2]model.InstanceID]time.Duration),
 		evictAt:   make(map[model.InstanceID]time.Duration),
 	}
-	for range 2 + pick(4) {
+	if p.limit.Rate != 0 {
+		s.limit = p.limit
+	}
+	members := p.members
+	if members == 0 {
+		members = 2 + pick(4)
+	}
+	for range members {
 		s.join()
 	}
 	return s
@@ -127,49 +195,49 @@
 		return
 	}
 	other := s.members[s.pick(len(s.members))]
-	kind := s.pick(18)
-	if s.trace != nil {
-		s.trace(fmt.Sprint("event ", kind), n)
-	}
-	switch kind {
-	case 0:
+	switch s.profile.events[s.pick(len(s.profile.events))] {
+	case cutOneWay:
 		s.cut[[2]model.InstanceID{n.id, other.id}] = true
-	case 1:
+	case cutBothWays:
 		s.cut[[2]model.InstanceID{n.id, other.id}] = true
 		s.cut[[2]model.InstanceID{other.id, n.id}] = true
-	case 2:
+	case isolate:
 		for _, m := range s.members {
 			s.cut[[2]model.InstanceID{n.id, m.id}] = true
 			s.cut[[2]model.InstanceID{m.id, n.id}] = true
 		}
 		n.storeCut = s.pick(2) == 0
-	case 3:
+	case splitInTwo:
 		s.split()
-	case 4, 5:
+	case heal:
 		clear(s.cut)
 		clear(s.slow)
 		for _, m := range s.members {
 			m.storeCut = false
 		}
-	case 6:
+	case freeze:
 		n.frozenUntil = s.now + time.Duration(s.pick(60))*100*time.Millisecond
-	case 7:
-		s.lose(n)
+	case lose:
+		s.loseMember(n)
 		if s.pick(2) == 0 {
 			s.join()
 		}
-	case 8:
+	case joinOne:
 		if len(s.listed) < 8 {
 			s.join()
 		}
-	case 9:
+	case cutFromStore:
 		n.storeCut = !n.storeCut
-	case 10:
+	case slowDown:
 		s.slow[[2]model.InstanceID{n.id, other.id}] = time.Duration(s.pick(30)) * 100 * time.Millisecond
-	case 11:
+	case newLimit:
 		s.changeLimit()
-	case 12, 13, 14:
+	case moveDemand:
 		s.moveDemand(n)
+	case rest:
+		s.rest()
+	case surge:
+		s.surge()
 	default:
 		n.demand = []int{0, 20, 100, 400}[s.pick(4)]
 	}
@@ -181,7 +249,25 @@
 		m.demand = 0
 	}
 	if s.pick(3) != 0 {
-		n.demand = 800
+		n.demand = 4000
+	}
+}
+
+// rest ends all demand until the buckets are full. Then one member has a demand
+// just below the rate for a window, so that a surge after it finds a full bucket at
+// the end of a window that was used.
+func (s *simulation) rest() {
+	for _, m := range s.members {
+		m.demand = 0
+	}
+	s.steadyAt = s.now + 9*time.Second
+	s.restUntil = s.steadyAt + 4500*time.Millisecond
+}
+
+// surge gives a large demand to all members at once.
+func (s *simulation) surge() {
+	for _, m := range s.members {
+		m.demand = 4000
 	}
 }
 
@@ -205,9 +291,9 @@
 	}
 }
 
-func (s *simulation) lose(n *member) {
+func (s *simulation) loseMember(n *member) {
 	n.lost = true
-	s.evictAt[n.id] = s.now + 4*time.Second
+	s.evictAt[n.id] = s.now + s.profile.evictAfter
 }
 
 // evict removes the members that were lost or cut off from the store for long.
@@ -215,7 +301,7 @@
 	for _, n := range s.members {
 		_, pending := s.evictAt[n.id]
 		if !pending && n.storeCut {
-			s.evictAt[n.id] = s.now + 4*time.Second
+			s.evictAt[n.id] = s.now + s.profile.evictAfter
 		}
 		if pending && !n.lost && !n.storeCut {
 			delete(s.evictAt, n.id)
@@ -263,16 +349,16 @@
 
 // deliver delivers what has arrived. A frozen member finds it when it wakes up.
 func (s *simulation) deliver() {
-	rest, due := s.inFlight[:0], s.due[:0]
+	later, due := s.inFlight[:0], s.due[:0]
 	for _, message := range s.inFlight {
 		switch {
 		case message.at > s.now || message.to.frozenUntil > s.now:
-			rest = append(rest, message)
+			later = append(later, message)
 		case !message.to.lost:
 			due = append(due, message)
 		}
 	}
-	s.inFlight, s.due = rest, due
+	s.inFlight, s.due = later, due
 	slices.SortStableFunc(due, func(a, b delivery) int { return cmp.Compare(a.at, b.at) })
 	for _, message := range due {
 		message.to.machine.Receive(message.to.clock(s.now), message.from, message.report)
@@ -291,9 +377,6 @@
 			continue
 		}
 		s.runs = append(s.runs, s.now)
-		if s.trace != nil {
-			s.trace("run", n)
-		}
 	}
 	if s.pick(10) == 0 {
 		n.machine.Admit(n.clock(s.now), small)
@@ -327,13 +410,16 @@
 	return nil
 }
 
-// run simulates a number of steps with an event in one of 15 of them.
+// run simulates a number of steps.
 func (s *simulation) run(steps int) error {
 	for range steps {
 		s.now += step
-		if s.pick(15) == 0 {
+		if s.pick(s.profile.every) == 0 && s.now >= s.restUntil {
 			s.event()
 		}
+		if s.now == s.steadyAt {
+			s.members[0].demand = 45
+		}
 		s.evict()
 		s.deliver()
 		for _, n := range s.members {
