--- a/pkg/state/quota/bucket.go
+++ b/pkg/state/quota/bucket.go
@@ -26,10 +26,10 @@
 	forgivenAt time.Duration
 	// credit is what was charged for silent members.
 	credit float64
-	// alone is what this member may spend without a group, as of aloneAt. It
-	// holds for the change of group with number aloneFor.
-	alone    float64
-	aloneAt  time.Duration
+	// alone is what this member may spend without a group, as of aloneAt.
+	alone   float64
+	aloneAt time.Duration
+	// aloneFor is the number of the change of group for which alone was set.
 	aloneFor uint64
 
 	// used counts the operations of this member. asked counts those and the
@@ -147,28 +147,29 @@
 	c.known = min(c.known+c.rate*passed, c.fullCapacity(m))
 }
 
-// fillAlone brings the bucket of a member without a group up to date. When the
-// member has just lost its group, it starts with what was left of its share.
+// carry gives a member that loses its group what was left of its share there. A
+// debt is paid back in equal parts.
+func (m *Machine) carry(c *caller, left time.Duration) {
+	if c.aloneFor == m.group.number+1 {
+		return
+	}
+	m.fill(c, left)
+	c.alone = min(c.spendable(m), c.aloneCapacity(m))
+	if c.tokens < 0 {
+		c.alone = c.tokens / m.size()
+	}
+	if m.config.Rules.NoCarry {
+		c.alone = c.aloneCapacity(m)
+	}
+	c.aloneAt = max(left, c.aloneAt)
+	c.aloneFor = m.group.number + 1
+}
+
+// fillAlone brings the bucket of a member without a group up to date.
 func (m *Machine) fillAlone(c *caller) {
-	if c.aloneFor != m.group.number || m.group.until != 0 {
-		left := m.group.leftAt
-		if m.group.until != 0 {
-			left = m.group.until
-		}
-		m.fill(c, left)
-		c.alone = min(c.spendable(m), c.aloneCapacity(m))
-		if c.tokens < 0 {
-			c.alone = c.tokens / m.size()
-		}
-		if m.config.Rules.NoCarry {
-			c.alone = c.aloneCapacity(m)
-		}
-		c.aloneAt = max(left, c.aloneAt)
-		c.aloneFor = m.group.number
-		if m.group.until != 0 {
-			// leaveGroup counts the change.
-			c.aloneFor++
-		}
+	if m.group.until != 0 {
+		// The group has run out, and leaveGroup was not called yet.
+		m.carry(c, m.group.until)
 	}
 	passed := (m.now - c.aloneAt).Seconds()
 	if passed > 0 {
--- a/pkg/state/quota/group.go
+++ b/pkg/state/quota/group.go
@@ -17,8 +17,6 @@
 	agreedID uint64
 	// until is when this member stops to rely on the group; zero without one.
 	until time.Duration
-	// leftAt is when this member last stopped to rely on a group.
-	leftAt time.Duration
 	// number counts the changes between a group and none.
 	number uint64
 	// linked holds the peers of the group.
@@ -122,13 +120,16 @@
 	g.until = until
 }
 
-// leaveGroup ends the use of the group. A time that has passed already is kept,
-// as it is when the tokens that this member may spend alone begin to count.
+// leaveGroup ends the use of the group. What is left of the shares is determined
+// before the members of the group change.
 func (m *Machine) leaveGroup(wasIn bool) {
 	if !wasIn {
 		return
 	}
-	m.group.leftAt = min(m.now, m.group.until)
+	left := min(m.now, m.group.until)
+	for _, c := range m.callers {
+		m.carry(c, left)
+	}
 	m.group.until = 0
 	m.group.number++
 }
