--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -17,6 +17,7 @@
 	"gypsumdock/pkg/coordination/dispatcher"
 	"gypsumdock/pkg/coordination/headstore"
 	store "gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/quota"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/state/failover"
@@ -105,6 +106,7 @@
 	loop     *region.Loop
 	mesh     *mesh.Node
 	front    *textfront.Server
+	rates    *quota.Service
 	ready    *http.Server
 	stopping atomicFlag
 	wasReady atomicFlag
@@ -158,10 +160,11 @@
 	if h.loop, err = region.New(h.loopConfig(peers)); err != nil {
 		return err
 	}
+	h.rates = h.newRates(peers)
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
 		Busy: newProcessorUse(h.settings.Cores).Permille,
-		Self: h.self.ID, RevocationTime: h.settings.RevocationTime,
+		Self: h.self.ID, RevocationTime: h.settings.RevocationTime, Rates: h.rates,
 	})
 	h.mesh = mesh.New(mesh.Config{
 		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: newHostedPeer(h), Logger: h.logger,
@@ -281,6 +284,7 @@
 	go func() { _ = h.ready.Serve(listener) }()
 	go h.watchConnectivity(background)
 	go h.reportLoads(background)
+	go h.rates.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- h.front.Serve() }()
 	for {
--- a/pkg/instance/hostedpeer.go
+++ b/pkg/instance/hostedpeer.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"gypsumdock/pkg/coordination/dispatcher"
+	"gypsumdock/pkg/coordination/quota"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshlink"
@@ -20,6 +21,7 @@
 	loop     *region.Loop
 	front    *textfront.Server
 	dispatch *dispatcher.Dispatcher
+	rates    *quota.Service
 	logger   *slog.Logger
 	// loadRefused logs reports of load that cannot be.
 	loadRefused *events.Throttle
@@ -27,7 +29,7 @@
 
 func newHostedPeer(h *Hosted) hostedPeer {
 	return hostedPeer{
-		loop: h.loop, front: h.front, dispatch: h.dispatch, logger: h.logger,
+		loop: h.loop, front: h.front, dispatch: h.dispatch, rates: h.rates, logger: h.logger,
 		loadRefused: events.NewThrottle(events.LoadRefused, loadRefusedInterval),
 	}
 }
@@ -58,6 +60,10 @@
 		go p.answerRegion(ask, reply)
 		return
 	}
+	if report := message.GetUsageReport(); report != nil {
+		p.rates.Receive(from, meshlink.DecodeUsage(report))
+		return
+	}
 	decoded, found := meshlink.Decode(message)
 	if !found {
 		reply(meshlink.EncodeFailure("no answer to this message"))
--- a/pkg/transport/textfront/failures.go
+++ b/pkg/transport/textfront/failures.go
@@ -13,6 +13,9 @@
 	if u.denied.IsDenial() {
 		return deniedFailure
 	}
+	if u.isOverRate() {
+		return u.overRateFailure()
+	}
 	text := "not run"
 	if u.refusal != nil {
 		text = notRunText(u.refusal.Reason.String(), u.refusal.RetryAfter)
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -40,6 +40,8 @@
 	// RevocationTime is the time after which an access key that was removed from
 	// the configuration must have no effect; 0 if that is not required.
 	RevocationTime time.Duration
+	// Rates limits the units of work of callers; nil for no limits.
+	Rates Rates
 }
 
 // StopTimes holds the schedule of a graceful stop. All times count from its
--- a/pkg/transport/textfront/transaction.go
+++ b/pkg/transport/textfront/transaction.go
@@ -127,6 +127,7 @@
 			break
 		}
 	}
+	tx.refundRate()
 	s := tx.session
 	s.noPermit = tx.lacksPermit()
 	s.server.recorder.refused(tx.unit, stmt.request)
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -55,6 +55,7 @@
 	refusal *dispatch.Refusal
 	// denied is why the access key was found invalid after the unit had waited.
 	denied access.Reason
+	rate   rateState
 }
 
 func newUnit(s *session, route *catalog.Route, needsPrimary bool) *unit {
@@ -101,6 +102,9 @@
 // tries other upstreams until the deadline. If it returns false, nothing of the
 // unit has run and refusal is set.
 func (u *unit) acquire(checkAlive bool) bool {
+	if !u.admitRate() {
+		return false
+	}
 	for u.attempts < maxAttempts && !u.isPastDeadline() {
 		u.attempts++
 		u.findIdle()
@@ -204,6 +208,7 @@
 ) (*statement.Answer, error) {
 	sentAt := u.dispatch().Now()
 	u.dispatch().Sent(u.route.Group, u.placement)
+	u.rate.sent = true
 	answer, err := send(data, u.wallTime(deadline))
 	if err != nil && !textback.IsTimeout(err) {
 		u.dispatch().ConnectionLost(u.route.Group, u.placement)
