Rates: members meet when they join; a replaced process is not counted

Cause: members first exchanged reports with the first load. What each might have used since it joined was charged then, up to the debt of a whole window: the first four seconds of load were refused. A process that was replaced on its machine was counted as a member for five more seconds, so that after a restart of all half of each rate was withheld. Change: a new peer is told of this member at once; reports go on for a minute after joining and after the last operation. What counted before a limit existed is not charged. A removed member whose machine runs a later process is dropped at once.

--- a/pkg/coordination/quota/service.go
+++ b/pkg/coordination/quota/service.go
@@ -180,15 +180,15 @@
 
 // membersOf returns the registered instances, or nil while this one is not
 // registered.
-func membersOf(snapshot *region.Snapshot) []model.InstanceID {
+func membersOf(snapshot *region.Snapshot) []model.Member {
 	if !snapshot.View.Registered {
 		return nil
 	}
-	var ids []model.InstanceID
+	var members []model.Member
 	for _, view := range snapshot.View.Members {
-		ids = append(ids, view.Member.ID)
+		members = append(members, view.Member)
 	}
-	return ids
+	return members
 }
 
 // logGroup logs whether this member divides the rates by demand.
--- a/pkg/state/quota/config.go
+++ b/pkg/state/quota/config.go
@@ -88,9 +88,12 @@
 	// wantedFor is how long reports go on after a report of an active member.
 	wantedFor = time.Second
 	// activeFor is how long reports go on after the last operation of a limited
-	// caller. It spares a member that is used every few seconds the time in which
-	// a group forms.
-	activeFor = 10 * time.Second
+	// caller, and after this instance has become a member. It spares a member that
+	// is used now and then the time in which a group forms.
+	activeFor = time.Minute
+	// meetFor is how long a new peer is told of this member while no limited caller
+	// is active.
+	meetFor = 10 * time.Second
 	// maxRetryAfter bounds the time to come back.
 	maxRetryAfter = 5 * time.Second
 	// equalPart is the part of the region's tokens that is shared equally, so
--- a/pkg/state/quota/machine.go
+++ b/pkg/state/quota/machine.go
@@ -40,6 +40,8 @@
 // peer is another member.
 type peer struct {
 	id model.InstanceID
+	// machine is where the peer runs; empty if it is not known.
+	machine string
 	// removedAt is when the members no longer contained the peer; zero for never.
 	removedAt time.Duration
 	// heardAt is when its newest report arrived.
@@ -122,12 +124,17 @@
 
 // SetMembers replaces the registered instances; nil while this instance is not
 // one of them. confirmedAt is when they were last known to be current.
-func (m *Machine) SetMembers(now time.Duration, ids []model.InstanceID, confirmedAt time.Duration) {
+func (m *Machine) SetMembers(now time.Duration, members []model.Member, confirmedAt time.Duration) {
 	m.advance(now)
 	m.confirmedAt = max(m.confirmedAt, confirmedAt)
+	ids := make([]model.InstanceID, 0, len(members))
+	for _, listed := range members {
+		ids = append(ids, listed.ID)
+	}
 	member := slices.Contains(ids, m.config.Self)
 	if member && !m.registered {
 		m.registeredAt = m.now
+		m.activeUntil = m.now + activeFor
 		m.assumeFormer()
 	}
 	hash := hashIDs(ids)
@@ -142,15 +149,25 @@
 			p.removedAt = m.now
 		}
 	}
-	for _, id := range ids {
-		if id != m.config.Self {
-			m.addPeer(id)
+	for _, listed := range members {
+		if listed.ID != m.config.Self {
+			m.addPeer(listed)
 		}
 	}
+	m.dropPredecessors(members)
 	slices.SortFunc(m.peers, func(a, b *peer) int { return cmp.Compare(a.id, b.id) })
 	m.updatePeers()
 }
 
+// dropPredecessors forgets the removed members whose machine runs a later process:
+// they have ended, so that they need not be counted for formerFor.
+func (m *Machine) dropPredecessors(members []model.Member) {
+	runsOn := func(machine string) bool {
+		return machine != "" && slices.ContainsFunc(members, func(listed model.Member) bool { return listed.Machine == machine })
+	}
+	m.peers = slices.DeleteFunc(m.peers, func(p *peer) bool { return p.removedAt != 0 && runsOn(p.machine) })
+}
+
 // assumeFormer counts one removed member that a new member has not seen, as that one
 // may not know of its removal yet.
 func (m *Machine) assumeFormer() {
@@ -160,12 +177,12 @@
 	m.peers = append(m.peers, &peer{removedAt: max(m.now, 1), touchedAt: m.now})
 }
 
-func (m *Machine) addPeer(id model.InstanceID) {
-	if p := m.peer(id); p != nil {
+func (m *Machine) addPeer(listed model.Member) {
+	if p := m.peer(listed.ID); p != nil {
 		p.removedAt = 0
 		return
 	}
-	m.peers = append(m.peers, &peer{id: id, touchedAt: m.now, use: make(map[model.CallerName]*peerUse)})
+	m.peers = append(m.peers, &peer{id: listed.ID, machine: listed.Machine, touchedAt: m.now, use: make(map[model.CallerName]*peerUse)})
 }
 
 func (m *Machine) peer(id model.InstanceID) *peer {
--- a/pkg/state/quota/profile_test.go
+++ b/pkg/state/quota/profile_test.go
@@ -26,6 +26,7 @@
 	rest
 	surge
 	restartAll
+	replaceOne
 	changeDemand
 )
 
@@ -70,6 +71,10 @@
 		name: "restarts", every: 60, evictAfter: 500 * time.Millisecond, limit: quota.Limit{Caller: hot, Rate: 20, Burst: 150}, members: 3,
 		events: []event{restartAll, surge, surge, rest},
 	}
+	replacements = profile{
+		name: "replacements", every: 30, evictAfter: 4 * time.Second, limit: quota.Limit{Caller: hot, Rate: 100, Burst: 20}, members: 3,
+		events: []event{replaceOne, replaceOne, isolate, cutFromStore, heal, changeDemand, changeDemand, moveDemand},
+	}
 )
 
 // event brings about one failure, or ends one.
@@ -122,6 +127,8 @@
 		s.rest()
 	case restartAll:
 		s.restartAll()
+	case replaceOne:
+		s.replace(n)
 	case surge:
 		s.surge()
 	default:
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -151,7 +151,7 @@
 			report.Usage = append(report.Usage, Usage{Caller: name, Used: last.used, Demand: last.demand})
 		}
 	}
-	wanted := report.Active || m.now < m.wantedUntil
+	wanted := report.Active || m.now < m.wantedUntil || m.isNewPeer(p)
 	due := wanted && (len(report.Usage) > 0 || m.now-p.sentAt >= answerInterval)
 	if due {
 		p.sentAt = m.now
@@ -159,6 +159,14 @@
 	return report, due
 }
 
+// isNewPeer reports whether a peer has just become a member and has not been in
+// touch yet. It is told at once, also while no caller is active: what a peer may
+// have used before its first report has to be charged.
+func (m *Machine) isNewPeer(p *peer) bool {
+	met := p.heard && p.echo != 0
+	return !met && m.now-p.touchedAt < meetFor
+}
+
 // Receive takes in the report of a peer. It returns the number of entries that
 // were dropped because they are invalid.
 func (m *Machine) Receive(now time.Duration, from model.InstanceID, report Report) (dropped int) {
@@ -193,11 +201,11 @@
 }
 
 // chargeUnreported charges what a peer may have used before its first report,
-// which says only where it begins.
+// which says only where it begins. Before a caller had a limit nothing counted.
 func (m *Machine) chargeUnreported(p *peer) {
 	for _, c := range m.callers {
 		m.fill(c, m.now)
-		c.known -= c.rate * (m.now - p.touchedAt).Seconds() / m.size()
+		c.known -= c.rate * (m.now - max(p.touchedAt, c.createdAt)).Seconds() / m.size()
 		c.bound(m)
 	}
 }
