Rates: a new peer is told of this member with each tick until they have met

Cause: after a restart of all instances the members met 0.4 to 0.6 s after they had joined; until then a new member refuses all that has a limit. Change: reports to a peer that was not met yet go out each tick, not each 200 ms. Result: tests of pkg/state/quota and pkg/coordination/quota pass.

--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -152,7 +152,7 @@
 		}
 	}
 	wanted := report.Active || m.now < m.wantedUntil || m.isNewPeer(p)
-	due := wanted && (len(report.Usage) > 0 || m.now-p.sentAt >= answerInterval)
+	due := wanted && (len(report.Usage) > 0 || m.isNewPeer(p) || m.now-p.sentAt >= answerInterval)
 	if due {
 		p.sentAt = m.now
 	}
