Limit the rates of callers on the PostgreSQL interface

Cause: rate and burst of a caller in the folder were only stored. The limiter took its state from the region of the hosted interface.

Change: - pkg/coordination/quota takes an Input (view, configuration, callers), which both interfaces fill, and gives the use by caller for the status. - The engine counts a unit once before it waits for a slot. Over the limit it is refused at once with Overloaded, NotRun, "over the rate limit" and a time to come back. RateCharge goes with all attempts of a unit, so that a retry is not counted again, and the path refunds a unit of which nothing was sent. - A request that only prepares statements does not count.

--- a/pkg/coordination/engine/admit.go
+++ b/pkg/coordination/engine/admit.go
@@ -13,8 +13,10 @@
 	"gypsumdock/pkg/verdict"
 )
 
-// Admit chooses the upstream for s and waits for a slot there, at most until the
-// route's deadline.
+// Admit counts s towards the rate of its caller, chooses the upstream and waits for a
+// slot there, at most until the route's deadline. A first attempt that is refused
+// does not count; whether a later one still counts depends on the earlier ones, which
+// the path knows.
 func (e *Engine) Admit(ctx context.Context, s traffic.Statement) (*traffic.Ticket, *verdict.Error) {
 	e.stats.admitted.Add(1)
 	ticket, refused := e.admit(ctx, s)
@@ -34,9 +36,27 @@
 	}
 	u := &unit{engine: e, statement: s, group: group, route: routeOf(snapshot.Bundle, group, s)}
 	u.deadline = s.Arrived.Add(u.route.Deadline)
+	var own traffic.RateCharge
+	charge := s.Charge
+	if charge == nil {
+		charge = &own
+	}
+	if refused := e.chargeRate(s, charge); refused != nil {
+		return nil, refused
+	}
+	ticket, refused := u.admitInTime(ctx)
+	if refused != nil && s.Attempt == 0 {
+		e.RefundRate(charge)
+	}
+	return ticket, refused
+}
+
+// admitInTime checks the retry budget, chooses the upstream and waits for a slot
+// there, at most until the unit's deadline.
+func (u *unit) admitInTime(ctx context.Context) (*traffic.Ticket, *verdict.Error) {
 	ctx, cancel := context.WithDeadline(ctx, u.deadline)
 	defer cancel()
-	if refused := e.checkRetryBudget(ctx, s, u.deadline); refused != nil {
+	if refused := u.engine.checkRetryBudget(ctx, u.statement, u.deadline); refused != nil {
 		return nil, refused
 	}
 	return u.admit(ctx)
--- a/pkg/coordination/engine/engine.go
+++ b/pkg/coordination/engine/engine.go
@@ -49,6 +49,8 @@
 	Positions Positions
 	// Random returns a random number; it is safe for concurrent use.
 	Random func() uint64
+	// Rates limits the rates of callers; nil for no limits.
+	Rates Rates
 }
 
 // Engine implements traffic.Engine and control.Traffic.
--- a/pkg/coordination/observe/engine.go
+++ b/pkg/coordination/observe/engine.go
@@ -86,8 +86,12 @@
 	return group.ID
 }
 
-// recordRefusal counts and logs a refusal of Admit.
+// recordRefusal counts and logs a refusal of Admit. One over the rate limit of a
+// caller is no overload of the group; the limiter counts it.
 func (e *Engine) recordRefusal(ctx context.Context, group model.GroupID, series *groupSeries, refused *verdict.Error) {
+	if refused.Reason == traffic.OverRateReason {
+		return
+	}
 	switch refused.Code {
 	case verdict.Overloaded:
 		series.shed.Inc()
@@ -122,6 +126,13 @@
 	}
 }
 
+// RefundRate calls the inner engine's RefundRate if it has one.
+func (e *Engine) RefundRate(charge *traffic.RateCharge) {
+	if inner, has := e.inner.(traffic.RateRefunder); has {
+		inner.RefundRate(charge)
+	}
+}
+
 // Done calls the inner engine's Done and counts the answer.
 func (e *Engine) Done(t *traffic.Ticket, r traffic.Result) {
 	e.inner.Done(t, r)
--- a/pkg/coordination/observe/engine_test.go
+++ b/pkg/coordination/observe/engine_test.go
@@ -96,6 +96,16 @@
 		Expect(out.String()).To(MatchRegexp(`event=420 group=overload\n.*event=421 group=overload\n$`))
 	})
 
+	// One caller over its rate would otherwise report its group as overloaded.
+	It("does not take a refusal over a rate limit for an overload", func() {
+		engine, inner, out := newEngine("over-rate")
+		inner.refuse = verdict.New(verdict.Overloaded, verdict.NotRun, traffic.OverRateReason)
+		_, refused := engine.Admit(ctx, traffic.Statement{Database: "db"})
+		Expect(refused).To(Equal(inner.refuse))
+		Expect(out.String()).To(BeEmpty())
+		Expect(telemetry.AdmissionRefused.With("over-rate").Get()).To(BeZero())
+	})
+
 	It("logs lost writes and marks that were not stored", func() {
 		engine, inner, out := newEngine("failures")
 		ticket, _ := engine.Admit(ctx, traffic.Statement{Database: "db"})
--- a/pkg/coordination/quota/series.go
+++ b/pkg/coordination/quota/series.go
@@ -36,12 +36,17 @@
 // measure updates the metrics of the first maxNamed callers by name, and those of
 // all others together.
 func (s *Service) measure(now time.Duration) {
+	interval := now - s.measured
+	s.measured = now
 	for _, known := range s.series {
 		known.measured = false
 	}
+	previous := s.recent
+	s.recent = make(map[model.CallerName]recentUse, len(previous))
 	named := 0
 	var rest quota.CallerState
 	s.machine.EachCaller(now, func(state quota.CallerState) {
+		s.recent[state.Caller] = previous[state.Caller].next(state.Used, interval)
 		if named++; named <= maxNamed {
 			s.record(state)
 			return
--- a/pkg/coordination/quota/service.go
+++ b/pkg/coordination/quota/service.go
@@ -10,9 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/events"
-	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/state/quota"
 	"gypsumdock/pkg/telemetry"
@@ -34,16 +33,31 @@
 	SendUsage(to model.InstanceID, report quota.Report)
 }
 
+// Clock gives the time since the process's start, from a monotonic clock.
+type Clock interface{ Now() time.Duration }
+
+// Input is the state of an instance that a Service works by.
+type Input struct {
+	// View holds the members. Two views at the same address are the same; nil if
+	// the state is not known yet.
+	View *failover.View
+	// Configuration identifies the active configuration. It is comparable, and
+	// Callers is called again only once it has changed.
+	Configuration any
+	// Callers returns the callers of the configuration. Those without a rate have
+	// no limit.
+	Callers func() []model.CallerPolicy
+}
+
 // Config holds the dependencies and settings of a Service.
 type Config struct {
 	Self      model.InstanceID
 	Tolerance quota.Tolerance
-	Clock     region.Clock
-	// Snapshot returns the state of the region with the active catalog and the
-	// members. It may return nil.
-	Snapshot func() *region.Snapshot
-	Peers    Peers
-	Logger   *slog.Logger
+	Clock     Clock
+	// Input returns the newest state of the instance.
+	Input  func() Input
+	Peers  Peers
+	Logger *slog.Logger
 }
 
 // Service limits the rates of callers. It is safe for concurrent use.
@@ -53,13 +67,14 @@
 	limited atomic.Bool
 	invalid *events.Throttle
 
-	mu       sync.Mutex
-	machine  *quota.Machine
-	snapshot *region.Snapshot
-	catalog  *catalog.Catalog
-	measured time.Duration
-	series   map[model.CallerName]*series
-	inGroup  bool
+	mu            sync.Mutex
+	machine       *quota.Machine
+	view          *failover.View
+	configuration any
+	measured      time.Duration
+	series        map[model.CallerName]*series
+	recent        map[model.CallerName]recentUse
+	inGroup       bool
 }
 
 // New returns a Service that limits nothing before its first tick.
@@ -72,6 +87,7 @@
 		invalid: events.NewThrottle(events.UsageReportInvalid, logInterval),
 		machine: quota.New(quota.Config{Self: config.Self, Tolerance: config.Tolerance}),
 		series:  make(map[model.CallerName]*series),
+		recent:  make(map[model.CallerName]recentUse),
 	}
 }
 
@@ -145,33 +161,35 @@
 	}
 	reports := s.machine.Tick(now)
 	if now-s.measured >= measureInterval {
-		s.measured = now
 		s.measure(now)
 	}
 	s.logGroup()
 	return reports
 }
 
-// adopt takes in a new snapshot.
+// adopt takes in a new state of the instance.
 func (s *Service) adopt(now time.Duration) {
-	snapshot := s.config.Snapshot()
-	if snapshot == nil || snapshot == s.snapshot {
+	input := s.config.Input()
+	if input.View == nil || input.View == s.view {
 		return
 	}
-	s.snapshot = snapshot
-	if snapshot.Catalog != s.catalog {
-		s.catalog = snapshot.Catalog
-		s.machine.SetLimits(now, limitsOf(snapshot.Catalog))
+	s.view = input.View
+	if input.Configuration != s.configuration {
+		s.configuration = input.Configuration
+		s.machine.SetLimits(now, limitsOf(input.Callers()))
 		s.limited.Store(s.machine.Limited())
+		// Without limits nothing is measured any more, so that the metrics of the
+		// last callers must be removed here.
+		s.measure(now)
 	}
-	s.machine.SetMembers(now, membersOf(snapshot), snapshot.View.HeadConfirmedAt)
+	s.machine.SetMembers(now, membersOf(input.View), input.View.HeadConfirmedAt)
 }
 
 // limitsOf returns the limits of the callers that have one.
-func limitsOf(active *catalog.Catalog) []quota.Limit {
+func limitsOf(callers []model.CallerPolicy) []quota.Limit {
 	var limits []quota.Limit
-	for _, caller := range active.Callers {
-		if caller.Rate > 0 {
+	for _, caller := range callers {
+		if caller.Limited() {
 			limits = append(limits, quota.Limit{Caller: caller.Name, Rate: caller.Rate, Burst: caller.Burst})
 		}
 	}
@@ -180,13 +198,13 @@
 
 // membersOf returns the registered instances, or nil while this one is not
 // registered.
-func membersOf(snapshot *region.Snapshot) []model.InstanceID {
-	if !snapshot.View.Registered {
+func membersOf(view *failover.View) []model.InstanceID {
+	if !view.Registered {
 		return nil
 	}
 	var ids []model.InstanceID
-	for _, view := range snapshot.View.Members {
-		ids = append(ids, view.Member.ID)
+	for _, member := range view.Members {
+		ids = append(ids, member.Member.ID)
 	}
 	return ids
 }
--- a/pkg/coordination/quota/service_test.go
+++ b/pkg/coordination/quota/service_test.go
@@ -12,8 +12,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"gypsumdock/pkg/coordination/quota"
-	"gypsumdock/pkg/coordination/region"
-	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
 	state "gypsumdock/pkg/state/quota"
@@ -52,29 +50,39 @@
 	clock    *fakeClock
 	services []*quota.Service
 	peers    []*fakePeers
+	input    quota.Input
 }
 
-func newFleet(members int, callers []catalog.Caller) *fleet {
+func newFleet(members int, callers []model.CallerPolicy) *fleet {
+	return newLoggedFleet(members, callers, slog.New(slog.DiscardHandler))
+}
+
+func newLoggedFleet(members int, callers []model.CallerPolicy, logger *slog.Logger) *fleet {
 	f := &fleet{clock: &fakeClock{now: time.Second}}
-	active := (&catalog.Catalog{Version: 1}).WithCallers(callers)
-	snapshot := &region.Snapshot{Catalog: active, View: failover.View{Registered: true, HeadConfirmedAt: time.Hour}}
+	view := failover.View{Registered: true, HeadConfirmedAt: time.Hour}
 	for i := range members {
 		id := model.InstanceID(fmt.Sprintf("i%02d", i))
-		snapshot.View.Members = append(snapshot.View.Members, failover.MemberView{Member: model.Member{ID: id}})
+		view.Members = append(view.Members, failover.MemberView{Member: model.Member{ID: id}})
 	}
+	f.configure(view, callers)
 	services := make(map[model.InstanceID]*quota.Service)
-	for _, view := range snapshot.View.Members {
-		peers := &fakePeers{from: view.Member.ID, services: services}
+	for _, member := range view.Members {
+		peers := &fakePeers{from: member.Member.ID, services: services}
 		service := quota.New(quota.Config{
-			Self: view.Member.ID, Tolerance: state.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Clock: f.clock,
-			Snapshot: func() *region.Snapshot { return snapshot }, Peers: peers, Logger: slog.New(slog.DiscardHandler),
+			Self: member.Member.ID, Tolerance: state.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Clock: f.clock,
+			Input: func() quota.Input { return f.input }, Peers: peers, Logger: logger,
 		})
-		services[view.Member.ID] = service
+		services[member.Member.ID] = service
 		f.services, f.peers = append(f.services, service), append(f.peers, peers)
 	}
 	return f
 }
 
+// configure gives all services a new state with the callers.
+func (f *fleet) configure(view failover.View, callers []model.CallerPolicy) {
+	f.input = quota.Input{View: &view, Configuration: &callers, Callers: func() []model.CallerPolicy { return callers }}
+}
+
 func (f *fleet) tick() {
 	f.clock.now += 100 * time.Millisecond
 	for _, service := range f.services {
@@ -90,17 +98,17 @@
 	return messages, bytes
 }
 
-func callers(count int) []catalog.Caller {
-	var accounts []catalog.Caller
+func callers(count int) []model.CallerPolicy {
+	var accounts []model.CallerPolicy
 	for i := range count {
-		accounts = append(accounts, catalog.Caller{Name: model.CallerName(fmt.Sprintf("c%05d", i)), Rate: 10, Burst: 10})
+		accounts = append(accounts, model.CallerPolicy{Name: model.CallerName(fmt.Sprintf("c%05d", i)), Rate: 10, Burst: 10})
 	}
 	return accounts
 }
 
 var _ = Describe("the service", func() {
 	It("limits a caller that is known, and neither one without a rate nor one without a name", func() {
-		f := newFleet(3, append(callers(1), catalog.Caller{Name: "free"}))
+		f := newFleet(3, append(callers(1), model.CallerPolicy{Name: "free"}))
 		for range 50 {
 			f.tick()
 		}
@@ -118,7 +126,7 @@
 	})
 
 	It("sends nothing without accounts that have a rate, and nothing while they are idle", func() {
-		without := newFleet(3, []catalog.Caller{{Name: "free"}})
+		without := newFleet(3, []model.CallerPolicy{{Name: "free"}})
 		idle := newFleet(3, callers(5))
 		for range 100 {
 			without.services[0].Admit("free")
--- a/pkg/coordination/traffic/traffic.go
+++ b/pkg/coordination/traffic/traffic.go
@@ -30,10 +30,38 @@
 	// received any of the answer. The engine refuses retries beyond its retry
 	// budget.
 	Attempt int
+	// OnlyPrepares is true if the unit consists of one request that prepares or
+	// describes statements and executes none. It does not count towards the
+	// caller's rate limit: clients prepare a statement in a request of its own, and
+	// again after an error, so that near the limit the preparations would use up
+	// the rate and no statement would run.
+	OnlyPrepares bool
+	// Charge records whether the unit counts towards the caller's rate limit. The
+	// path passes the same one with all attempts of a unit; nil if it makes only
+	// one.
+	Charge *RateCharge
 	// Arrived is the time at which the unit's first byte was read.
 	Arrived time.Time
 }
 
+// OverRateReason is the reason of a refusal over the rate limit. Its code is
+// verdict.Overloaded, as for other refusals that a later retry can avoid.
+const OverRateReason = "over the rate limit"
+
+// RateCharge is what a unit of work counts towards the rate limit of its caller. Its
+// zero value is that of a unit that does not count yet. Only the engine changes it.
+type RateCharge struct {
+	Caller  model.CallerName
+	Counted bool
+}
+
+// RateRefunder is implemented by engines that limit the rates of callers.
+type RateRefunder interface {
+	// RefundRate takes back the charge of a unit of work that certainly did not run
+	// in any attempt and is not attempted again.
+	RefundRate(charge *RateCharge)
+}
+
 // Ticket permits one unit of work to run on one upstream. The goroutine that serves
 // the caller owns it until Done.
 type Ticket struct {
--- a/pkg/instance/assemble.go
+++ b/pkg/instance/assemble.go
@@ -71,11 +71,13 @@
 		Peers:       tracedPeers{peers, i.tracer},
 		RefreshHead: func() { i.loop.RefreshHead() },
 	})
+	i.rates = i.newRates(peers)
 	i.engine = engine.New(engine.Config{
 		Clock:     i.clock,
 		Sessions:  i.sessions,
 		Positions: i.prober,
 		Random:    rand.Uint64,
+		Rates:     i.rates,
 	})
 	store := headstore.New(i.table(), i.settings.Instance.Region)
 	view := func() *failover.View { return &i.loop.Snapshot().View }
@@ -160,6 +162,7 @@
 		Control:  i.loop,
 		Homes:    i.sessions,
 		Reader:   i.heads,
+		Rates:    i.rates,
 		Forwards: pgforward.NewLender(i.pools, i.engine),
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -18,6 +18,7 @@
 	"gypsumdock/pkg/coordination/engine"
 	"gypsumdock/pkg/coordination/headstore"
 	"gypsumdock/pkg/coordination/platform"
+	"gypsumdock/pkg/coordination/quota"
 	"gypsumdock/pkg/coordination/sessions"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/settings"
@@ -50,8 +51,7 @@
 	tracer    *telemetry.Tracer
 	stopping  atomicFlag
 	ready     readyLatch
-	// callerUsage is nil if no rate limiter runs.
-	callerUsage callerUsageSource
+	rates     *quota.Service
 }
 
 // listeners are the open listening sockets.
@@ -86,6 +86,7 @@
 		slog.String("admin", i.listeners.admin.Addr().String()))
 	i.loop.Start()
 	go i.sessions.Run(background)
+	go i.rates.Run(background)
 	go i.exportMetrics(background)
 	go func() { _ = i.admin.Serve(i.listeners.admin) }()
 	served := make(chan error, 1)
--- a/pkg/instance/status.go
+++ b/pkg/instance/status.go
@@ -32,7 +32,7 @@
 		InFlight:          i.engine.InFlight(),
 		SessionMarks:      home.Marks + ledger.Marks,
 		Peers:             i.peers(snapshot),
-		Callers:           callersStatus(snapshot.Bundle.Callers, i.callerUsage),
+		Callers:           callersStatus(snapshot.Bundle.Callers, i.rates),
 	}
 	if head := snapshot.View.Head; head != nil {
 		status.TargetRevision = max(status.TargetRevision, head.Revision)
--- a/pkg/state/quota/inspect.go
+++ b/pkg/state/quota/inspect.go
@@ -12,6 +12,8 @@
 	// Used and Refused count the operations of this member.
 	Used    uint64
 	Refused uint64
+	// Rate is the limit over all members, in operations per second.
+	Rate float64
 	// Tokens is what the region has by the knowledge of this member.
 	Tokens float64
 }
@@ -22,7 +24,7 @@
 	for _, name := range m.names {
 		c := m.callers[name]
 		m.fill(c, m.now)
-		show(CallerState{Caller: name, Used: c.used, Refused: c.refused, Tokens: c.tokens})
+		show(CallerState{Caller: name, Used: c.used, Refused: c.refused, Rate: c.rate, Tokens: c.tokens})
 	}
 }
 
--- a/pkg/transport/meshpeer/inbound.go
+++ b/pkg/transport/meshpeer/inbound.go
@@ -8,16 +8,23 @@
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/quota"
 )
 
 // Inbound dispatches the messages and forwarded units of work of peers to the
 // components of this instance. It implements mesh.Handler. The fields must be
-// set before the mesh starts; Forwards may be nil.
+// set before the mesh starts; Forwards and Rates may be nil.
 type Inbound struct {
 	Control  Control
 	Homes    Homes
 	Reader   Reader
 	Forwards ForwardServer
+	Rates    Rates
+}
+
+// Rates takes in what peers report of the use of callers with a rate limit.
+type Rates interface {
+	Receive(from model.InstanceID, report quota.Report)
 }
 
 // HandleMessage handles one message of a peer. A call is answered through
@@ -26,6 +33,10 @@
 	switch body := message.GetBody().(type) {
 	case *meshpb.Envelope_Status:
 		h.Control.StatusReceived(from, meshlink.DecodeStatus(body.Status))
+	case *meshpb.Envelope_UsageReport:
+		if h.Rates != nil {
+			h.Rates.Receive(from, meshlink.DecodeUsage(body.UsageReport))
+		}
 	case *meshpb.Envelope_GrantHint:
 		h.Control.GrantHinted(model.UpstreamID(body.GrantHint.GetUpstream()))
 	case *meshpb.Envelope_HeadAsk:
--- a/pkg/transport/pgfront/run.go
+++ b/pkg/transport/pgfront/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"gypsumdock/pkg/coordination/traffic"
 	"gypsumdock/pkg/verdict"
 )
 
@@ -67,10 +68,28 @@
 	}
 }
 
-// runWithRetries runs b, and retries it where that can't run anything twice. The
-// outcome of its failure is NotRun only if no attempt can have run anything.
+// runWithRetries runs b, and retries it where that can't run anything twice. A unit
+// of work that it opens counts once towards the caller's rate limit, and not at all
+// if nothing of it was sent.
 func (s *session) runWithRetries(b *batch) *failure {
-	isNewUnit := s.unit == nil
+	if s.unit != nil {
+		return s.tryRun(b, false)
+	}
+	s.charge = traffic.RateCharge{}
+	failed := s.tryRun(b, true)
+	isSent := s.unit != nil && s.unit.ticket.Sent
+	if failed == nil || failed.Outcome != verdict.NotRun || isSent {
+		return failed
+	}
+	if engine, limits := s.server.config.Engine.(traffic.RateRefunder); limits {
+		engine.RefundRate(&s.charge)
+	}
+	return failed
+}
+
+// tryRun is runWithRetries without the rate limit. The outcome of its failure is
+// NotRun only if no attempt can have run anything.
+func (s *session) tryRun(b *batch, isNewUnit bool) *failure {
 	begin := s.deferredBegin
 	before := s.output.rewindPoint()
 	mayHaveRun := (*failure)(nil)
--- a/pkg/transport/pgfront/session.go
+++ b/pkg/transport/pgfront/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"gypsumdock/pkg/coordination/traffic"
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/pgwire"
 	"gypsumdock/pkg/state/model"
@@ -53,6 +54,8 @@
 	spanCtx context.Context
 	// unit is the unit of work in progress, or nil.
 	unit *unit
+	// charge is what the last unit of work counts towards the caller's rate limit.
+	charge traffic.RateCharge
 	// deferredBegin is a BEGIN that the proxy has answered and not sent yet, or nil.
 	deferredBegin *deferredBegin
 	// abortCause is set while the caller has not yet ended a transaction that the
--- a/pkg/transport/pgfront/unit.go
+++ b/pkg/transport/pgfront/unit.go
@@ -156,9 +156,11 @@
 		Tag:        b.tags.Route,
 		ReadOnly:   b.readOnly,
 		Attempt:    attempt,
+		Charge:     &s.charge,
 		Arrived:    b.arrived,
 	}
 	if s.deferredBegin == nil {
+		statement.OnlyPrepares = b.complete && !b.executes()
 		return statement
 	}
 	statement.ReadOnly = s.deferredBegin.readOnly && !b.changesMode
--- a/testbench/path/path_test.go
+++ b/testbench/path/path_test.go
@@ -41,7 +41,10 @@
 }
 
 func connect(ctx context.Context, c *cluster.Cluster, instance int) *pgx.Conn {
-	caller := c.Profile().Callers[0]
+	return connectAs(ctx, c, instance, c.Profile().Callers[0])
+}
+
+func connectAs(ctx context.Context, c *cluster.Cluster, instance int, caller profile.Caller) *pgx.Conn {
 	dsn := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
 		caller.Name, caller.Password, c.Instances[instance].Callers, c.Profile().Groups[0].Database)
 	conn, err := pgx.Connect(ctx, dsn)
