--- a/pkg/state/quota/group.go
+++ b/pkg/state/quota/group.go
@@ -135,8 +135,9 @@
 }
 
 // maySpendWith reports whether a member that is in touch with a number of peers
-// may spend: it is in touch with half of the members, or it is neither new nor
-// can have been removed without its knowledge.
+// may spend. It may while the members are confirmed, if it is in touch with half of
+// them or is not new. Without a confirmation some may have been removed, so that
+// only all of them together may go on.
 func (m *Machine) maySpendWith(linked int) bool {
 	if !m.registered {
 		return false
@@ -147,12 +148,13 @@
 			members++
 		}
 	}
-	if linked > 0 && 2*(linked+1) >= members {
+	if linked > 0 && linked+1 == members {
 		return true
 	}
 	isNew := m.now-m.registeredAt < joinWait && !m.config.Rules.NoJoinWait
+	inTouch := linked > 0 && 2*(linked+1) >= members
 	isConfirmed := m.now-m.confirmedAt <= confirmedFor || m.config.Rules.NoConfirmation
-	return !isNew && isConfirmed
+	return isConfirmed && (inTouch || !isNew)
 }
 
 // linkedPeers returns the number of peers in touch with this member.
