One start-time fair queue for both interfaces; admission moves onto it

Cause: the rule that shares slots by caller stood in admission.Queue only, and the hosted interface needs the same rule.

Change: pkg/state/fairqueue holds flows with weights and start tags, whose sessions take turns, in several lanes. admission.Queue keeps its rules and their switches; cancelling a unit no longer walks all of them.

--- a/pkg/state/admission/fairness.go
+++ b/pkg/state/admission/fairness.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"gypsumdock/pkg/verdict"
@@ -16,107 +15,38 @@
 	if q.config.Rules.NoFairness {
 		key = callerKey{}
 	}
-	c, found := q.callers[key]
-	if !found {
-		c = &caller{key: key}
-		q.callers[key] = c
-	}
-	c.weight = max(u.Weight, 1)
-	return c
+	return q.callers.Flow(key, u.Weight)
 }
 
 func (q *Queue) enqueue(c *caller, u Unit) {
+	connection := u.Connection
 	if q.config.Rules.NoFairness {
-		u.Connection = 0
-	}
-	if c.queued == 0 {
-		c.startTag = max(c.startTag, q.virtualTime)
-		q.waiting = append(q.waiting, c)
-	}
-	c.enqueue(u)
-	q.queued++
-}
-
-// removeIfNotWaiting removes the caller from the list of waiting callers if it
-// has no queued units.
-func (q *Queue) removeIfNotWaiting(c *caller) {
-	if c.queued > 0 {
-		return
+		connection = 0
 	}
-	if index := slices.Index(q.waiting, c); index >= 0 {
-		q.waiting = slices.Delete(q.waiting, index, index+1)
-	}
-	q.evictIdle(c)
-}
-
-// evictIdle removes the state of the caller if it is idle and its past use no
-// longer puts it behind others. If many callers are kept it also removes all
-// others without units, so that the memory is bounded by the number of callers
-// that were active recently.
-func (q *Queue) evictIdle(c *caller) {
-	if q.isIdle(c) {
-		delete(q.callers, c.key)
-	}
-	if len(q.callers) <= 2*(len(q.waiting)+len(q.running))+maxIdleCallers {
-		return
-	}
-	for key, other := range q.callers {
-		if other.queued == 0 && other.running == 0 {
-			delete(q.callers, key)
-		}
-	}
-}
-
-// maxIdleCallers is the number of idle callers that may be kept, in addition to
-// two for each waiting caller and running unit.
-const maxIdleCallers = 64
-
-func (q *Queue) isIdle(c *caller) bool {
-	return c.queued == 0 && c.running == 0 && c.startTag <= q.virtualTime
-}
-
-// nextCaller returns the waiting caller with the least start tag.
-func (q *Queue) nextCaller() *caller {
-	earliest := q.waiting[0]
-	for _, c := range q.waiting[1:] {
-		if c.startTag < earliest.startTag {
-			earliest = c
-		}
-	}
-	return earliest
+	q.queued[u.ID] = q.callers.Push(c, connection, lane, u)
 }
 
 // shedUnit refuses the newest unit of the caller that has the most queued units
 // in proportion to its weight.
 func (q *Queue) shedUnit(newest Unit, random uint64) Decision {
-	heaviest := q.waiting[0]
-	for _, c := range q.waiting[1:] {
-		if c.queued*heaviest.weight >= heaviest.queued*c.weight {
-			heaviest = c
-		}
-	}
-	victim := newest
-	if q.config.Rules.NoFairness {
-		heaviest.remove(victim.ID)
-	} else {
-		victim = heaviest.removeNewest()
+	heaviest := q.callers.Heaviest()
+	victim := newest.ID
+	if !q.config.Rules.NoFairness {
+		victim = heaviest.Newest().Value.ID
 	}
-	q.queued--
-	q.removeIfNotWaiting(heaviest)
-	return Decision{ID: victim.ID, Refusal: q.refuse(heaviest, verdict.Overloaded, "the queue is full", random)}
+	q.Cancel(victim)
+	return Decision{ID: victim, Refusal: q.refuse(heaviest, verdict.Overloaded, "the queue is full", random)}
 }
 
 // expectedWait returns the expected wait of a caller's next unit: the time in
 // which the caller's share of the slots serves its queued units.
 func (q *Queue) expectedWait(c *caller) time.Duration {
-	totalWeight := c.weight
-	for _, other := range q.waiting {
-		if other != c {
-			totalWeight += other.weight
-		}
+	totalWeight := q.callers.WaitingWeight()
+	if c.Queued() == 0 {
+		totalWeight += c.Weight()
 	}
-	queuedTime := time.Duration(c.queued) * q.serviceTime
-	return queuedTime * time.Duration(totalWeight) / time.Duration(c.weight*max(q.config.Limit, 1))
+	queuedTime := time.Duration(c.Queued()) * q.serviceTime
+	return queuedTime * time.Duration(totalWeight) / time.Duration(c.Weight()*max(q.config.Limit, 1))
 }
 
 // predictsLate reports whether a new unit is expected to miss its deadline. The
@@ -142,7 +72,7 @@
 	if now >= u.Deadline {
 		return true
 	}
-	competes := now > u.Arrived && q.queued > 0 && !q.config.Rules.NoPrediction
+	competes := now > u.Arrived && len(q.queued) > 0 && !q.config.Rules.NoPrediction
 	return competes && now+q.margin() > u.Deadline
 }
 
--- a/pkg/state/admission/queue.go
+++ b/pkg/state/admission/queue.go
@@ -5,7 +5,7 @@
 //
 // The rules are:
 //   - Callers with queued units share the slots by weight, measured in the time
-//     that their units occupy slots (start-time fair queueing).
+//     that their units occupy slots (start-time fair queueing, pkg/state/fairqueue).
 //   - The connections of a caller take turns, so that a caller gets no larger
 //     share by opening more of them.
 //   - A full queue refuses the newest unit of the caller that has the most
@@ -21,9 +21,11 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"gypsumdock/pkg/state/fairqueue"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/verdict"
 )
@@ -106,20 +108,26 @@
 	NoPrediction bool
 }
 
+// callerQueue holds the queued units by caller and connection.
+type callerQueue = fairqueue.Queue[callerKey, ConnectionID, Unit]
+
+// caller is the state of a caller in a queue.
+type caller = fairqueue.Flow[callerKey, ConnectionID, Unit]
+
+// queuedUnit is a unit in a callerQueue.
+type queuedUnit = fairqueue.Item[callerKey, ConnectionID, Unit]
+
+// lane is the only lane of a callerQueue.
+const lane = 0
+
 // Queue assigns the slots of one upstream. It is owned by one goroutine.
 type Queue struct {
 	config Config
 	// serviceTime is the moving average of the service times.
 	serviceTime time.Duration
-	// virtualTime is the start tag of the unit that last got a slot.
-	virtualTime time.Duration
-	callers     map[callerKey]*caller
-	// waiting holds the callers with queued units, in the order in which they
-	// got their first one.
-	waiting []*caller
-	// queued is the number of queued units of all callers.
-	queued  int
-	running map[UnitID]runningUnit
+	callers     *callerQueue
+	queued      map[UnitID]*queuedUnit
+	running     map[UnitID]runningUnit
 }
 
 // callerKey identifies a caller. The connection is set only under
@@ -132,11 +140,10 @@
 // runningUnit is a unit that holds a slot.
 type runningUnit struct {
 	unit    Unit
-	caller  *caller
 	started time.Duration
-	// charged is the service time that the caller's start tag was advanced by
-	// when the unit started.
-	charged time.Duration
+	// charge is the service time that the caller was charged when the unit
+	// started.
+	charge fairqueue.Charge[callerKey, ConnectionID, Unit]
 }
 
 // New returns an empty queue.
@@ -144,7 +151,8 @@
 	return &Queue{
 		config:      config,
 		serviceTime: config.ServiceTime,
-		callers:     make(map[callerKey]*caller),
+		callers:     fairqueue.New[callerKey, ConnectionID, Unit](1, func(Unit, Unit) int { return 0 }),
+		queued:      make(map[UnitID]*queuedUnit),
 		running:     make(map[UnitID]runningUnit),
 	}
 }
@@ -157,13 +165,13 @@
 func (q *Queue) Limit() int { return q.config.Limit }
 
 // Queued returns the number of queued units.
-func (q *Queue) Queued() int { return q.queued }
+func (q *Queue) Queued() int { return len(q.queued) }
 
 // Running returns the number of units that hold a slot.
 func (q *Queue) Running() int { return len(q.running) }
 
 // Callers returns the number of callers whose state the queue keeps.
-func (q *Queue) Callers() int { return len(q.callers) }
+func (q *Queue) Callers() int { return q.callers.Flows() }
 
 // ServiceTime returns the expected service time of a unit.
 func (q *Queue) ServiceTime() time.Duration { return q.serviceTime }
@@ -175,11 +183,11 @@
 	var decisions []Decision
 	if q.predictsLate(now, c, u) {
 		refusal := q.refuse(c, verdict.Overloaded, "the wait would exceed the deadline", random)
-		q.evictIdle(c)
+		q.callers.Evict(c)
 		return append(decisions, Decision{ID: u.ID, Refusal: refusal})
 	}
 	q.enqueue(c, u)
-	if q.queued > q.config.MaxQueued && len(q.running) >= q.config.Limit {
+	if len(q.queued) > q.config.MaxQueued && len(q.running) >= q.config.Limit {
 		decisions = append(decisions, q.shedUnit(u, random))
 	}
 	return q.assignSlots(now, decisions, random)
@@ -194,16 +202,16 @@
 	}
 	elapsed := now - r.started
 	q.serviceTime += (elapsed - q.serviceTime) / serviceTimeSmoothing
-	r.caller.startTag += (elapsed - r.charged) / time.Duration(r.caller.weight)
-	q.releaseSlot(id)
+	delete(q.running, id)
+	q.callers.End(r.charge, elapsed)
 	return q.assignSlots(now, nil, random)
 }
 
-func (q *Queue) releaseSlot(id UnitID) {
+// dropRunning frees the slot of a unit whose service time is not known.
+func (q *Queue) dropRunning(id UnitID) {
 	r := q.running[id]
 	delete(q.running, id)
-	r.caller.running--
-	q.evictIdle(r.caller)
+	q.callers.Drop(r.charge)
 }
 
 // DropOwner removes the running and queued units of an instance that has left
@@ -211,14 +219,12 @@
 func (q *Queue) DropOwner(now time.Duration, owner model.InstanceID, random uint64) []Decision {
 	for id, r := range q.running {
 		if r.unit.Owner == owner {
-			q.releaseSlot(id)
+			q.dropRunning(id)
 		}
 	}
-	for _, c := range slices.Clone(q.waiting) {
-		for _, u := range c.units() {
-			if u.Owner == owner {
-				q.Cancel(u.ID)
-			}
+	for id, item := range q.queued {
+		if item.Value.Owner == owner {
+			q.Cancel(id)
 		}
 	}
 	return q.assignSlots(now, nil, random)
@@ -230,12 +236,9 @@
 
 // Cancel removes a queued unit whose client no longer waits.
 func (q *Queue) Cancel(id UnitID) {
-	for _, c := range slices.Clone(q.waiting) {
-		if c.remove(id) {
-			q.queued--
-			q.removeIfNotWaiting(c)
-			return
-		}
+	if item := q.queued[id]; item != nil {
+		delete(q.queued, id)
+		q.callers.Remove(item)
 	}
 }
 
@@ -245,29 +248,36 @@
 	var decisions []Decision
 	for id, r := range q.running {
 		if now >= r.unit.Deadline+q.config.Grace {
-			q.releaseSlot(id)
+			q.dropRunning(id)
 		}
 	}
-	for _, c := range slices.Clone(q.waiting) {
-		for _, u := range c.removeExpired(now) {
-			q.queued--
-			refusal := q.refuse(c, verdict.DeadlineExceeded, "the deadline passed in the queue", random)
-			decisions = append(decisions, Decision{ID: u.ID, Refusal: refusal})
-		}
-		q.removeIfNotWaiting(c)
+	for _, item := range q.expired(now) {
+		q.Cancel(item.Value.ID)
+		refusal := q.refuse(item.Flow(), verdict.DeadlineExceeded, "the deadline passed in the queue", random)
+		decisions = append(decisions, Decision{ID: item.Value.ID, Refusal: refusal})
 	}
 	return q.assignSlots(now, decisions, random)
 }
 
+// expired returns the queued units whose deadline has passed, the oldest first.
+func (q *Queue) expired(now time.Duration) []*queuedUnit {
+	var expired []*queuedUnit
+	for _, item := range q.queued {
+		if now >= item.Value.Deadline {
+			expired = append(expired, item)
+		}
+	}
+	slices.SortFunc(expired, func(a, b *queuedUnit) int { return cmp.Compare(a.Sequence(), b.Sequence()) })
+	return expired
+}
+
 // NextDeadline returns the earliest deadline of a queued unit, and false if no
 // unit is queued.
 func (q *Queue) NextDeadline() (time.Duration, bool) {
 	earliest, found := time.Duration(0), false
-	for _, c := range q.waiting {
-		for _, u := range c.units() {
-			if !found || u.Deadline < earliest {
-				earliest, found = u.Deadline, true
-			}
+	for _, item := range q.queued {
+		if !found || item.Value.Deadline < earliest {
+			earliest, found = item.Value.Deadline, true
 		}
 	}
 	return earliest, found
@@ -276,19 +286,18 @@
 // assignSlots assigns the free slots to queued units, and appends the decisions
 // to those given.
 func (q *Queue) assignSlots(now time.Duration, decisions []Decision, random uint64) []Decision {
-	for len(q.running) < q.config.Limit && q.queued > 0 {
-		c := q.nextCaller()
-		u := c.dequeue()
-		q.queued--
-		if q.isTooLateToRun(now, u) {
-			refusal := q.refuse(c, verdict.DeadlineExceeded, "the deadline came too near in the queue", random)
-			decisions = append(decisions, Decision{ID: u.ID, Refusal: refusal})
-			q.removeIfNotWaiting(c)
+	for len(q.running) < q.config.Limit && len(q.queued) > 0 {
+		item := q.callers.Next(lane)
+		q.callers.Take(item)
+		delete(q.queued, item.Value.ID)
+		if q.isTooLateToRun(now, item.Value) {
+			refusal := q.refuse(item.Flow(), verdict.DeadlineExceeded, "the deadline came too near in the queue", random)
+			decisions = append(decisions, Decision{ID: item.Value.ID, Refusal: refusal})
+			q.callers.Evict(item.Flow())
 			continue
 		}
-		q.startUnit(now, c, u)
-		q.removeIfNotWaiting(c)
-		decisions = append(decisions, Decision{ID: u.ID})
+		q.startUnit(now, item.Flow(), item.Value)
+		decisions = append(decisions, Decision{ID: item.Value.ID})
 	}
 	return decisions
 }
@@ -296,9 +305,5 @@
 // startUnit gives a slot to a unit and charges its caller the expected service
 // time. Release corrects the charge by the actual service time.
 func (q *Queue) startUnit(now time.Duration, c *caller, u Unit) {
-	q.virtualTime = max(q.virtualTime, c.startTag)
-	charge := q.serviceTime / time.Duration(c.weight)
-	c.startTag += charge
-	c.running++
-	q.running[u.ID] = runningUnit{unit: u, caller: c, started: now, charged: q.serviceTime}
+	q.running[u.ID] = runningUnit{unit: u, started: now, charge: q.callers.Start(c, q.serviceTime)}
 }
