Dispatch: fair queue by priority and caller, late units, reads at the primary

Cause: the queue of a group was one list by priority and deadline, walked on every event. It knew no callers, refused at the target what was still wanted, and let reads take all slots of the primary when replicas lagged.

Change: lines by priority and need of the primary, each a fairqueue with lanes for units on time, late, and waiting for a replica to catch up. Lower priorities are guaranteed an eighth of the slot time. A unit that cannot meet its target waits behind all that can, and is refused when it cannot meet its deadline; RetryAfter is spread. Reads whose replicas lag leave a slot of the primary to the units that need it. Waits and refusals are counted by priority.

--- /dev/null
+++ b/pkg/state/dispatch/decide.go
@@ -0,0 +1,246 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// guaranteedShare is the part of the slot time that each priority but the
+	// highest is guaranteed while it has units waiting: one in guaranteedShare.
+	guaranteedShare = 8
+	// maxOwed bounds the slot time that a priority may be behind its share, so
+	// that it does not hold the slots for long after a time in which its units
+	// could not run anyway.
+	maxOwed = 200 * time.Millisecond
+	// laggingRecheckInterval is the interval at which a queued read is checked
+	// for a replica that has caught up.
+	laggingRecheckInterval = 20 * time.Millisecond
+	// maxRechecks bounds the checks of one call of DecideWaiting.
+	maxRechecks = 64
+	// maxSetAside bounds the units of a lane that one call of DecideWaiting tries
+	// in vain, because the upstreams with room are not usable for them.
+	maxSetAside = 16
+)
+
+// Decision ends the wait of a queued unit. Either Placement or Refusal is set.
+type Decision struct {
+	Unit      *Unit
+	Placement *Placement
+	Refusal   *Refusal
+}
+
+// DecideWaiting places the queued units that can run now, and refuses those
+// that can no longer be served in time. The others stay in the queue.
+func (g *Group) DecideWaiting(now time.Duration) []Decision {
+	if len(g.waiting) == 0 {
+		return nil
+	}
+	g.recordIdle(now)
+	decisions := g.refuseWaiting(now, nil)
+	moved := g.moveOverdue(now)
+	g.recheckLagging(now)
+	decisions = g.placeWaiting(now, decisions)
+	return g.refuseOverdue(now, moved, decisions)
+}
+
+// recheckLagging finds the reads for which a replica has caught up.
+func (g *Group) recheckLagging(now time.Duration) {
+	for range maxRechecks {
+		first := g.rechecks.first()
+		if first == nil || now < first.recheckAt {
+			return
+		}
+		g.checkLagging(now, first)
+	}
+}
+
+// placementPass is the state of one call of placeWaiting.
+type placementPass struct {
+	group *Group
+	now   time.Duration
+	// setAside holds the units that could not be placed, in the order in which
+	// they were taken from the queue.
+	setAside []*waitingUnit
+}
+
+// placeWaiting places the queued units that can run now.
+func (g *Group) placeWaiting(now time.Duration, decisions []Decision) []Decision {
+	if len(g.waiting) == 0 || !g.hasAnyRoom(now) {
+		return decisions
+	}
+	pass := placementPass{group: g, now: now}
+	for _, l := range g.lines {
+		l.failures = [laneCount]int{}
+	}
+	for {
+		item, guaranteed := pass.next()
+		if item == nil {
+			break
+		}
+		w := item.Value
+		late := w.isLate()
+		w.line.units.Take(item)
+		placement := g.place(now, w.unit)
+		if placement == nil {
+			pass.fail(w)
+			continue
+		}
+		g.chargeWaiting(now, w, placement, guaranteed)
+		if late {
+			g.lateServed(w.unit.NeedsPrimary).count(now)
+		}
+		g.forget(w)
+		decisions = append(decisions, Decision{Unit: w.unit, Placement: placement})
+	}
+	for i := len(pass.setAside) - 1; i >= 0; i-- {
+		w := pass.setAside[i]
+		w.line.units.Restore(w.item)
+		g.checkLagging(now, w)
+	}
+	return decisions
+}
+
+// fail sets a unit aside until the end of the pass.
+func (p *placementPass) fail(w *waitingUnit) {
+	p.setAside = append(p.setAside, w)
+	w.line.failures[w.item.Lane()]++
+}
+
+// next returns the next unit to place, and whether it is taken because of the
+// guaranteed share of its priority. Late units come after all others.
+func (p *placementPass) next() (item *queuedUnit, guaranteed bool) {
+	if item, guaranteed = p.nextOf(laneOnTime, laneLagging); item != nil {
+		return item, guaranteed
+	}
+	return p.nextOf(laneLate, laneLateLagging)
+}
+
+// nextOf returns the next unit of two lanes: one of a line that is behind its
+// guaranteed share, otherwise one of the highest priority.
+func (p *placementPass) nextOf(ready, lagging int) (best *queuedUnit, guaranteed bool) {
+	for _, l := range p.group.lines {
+		for _, lane := range [...]int{ready, lagging} {
+			item := l.units.Next(lane)
+			if item == nil || p.isBlocked(l, lane) {
+				continue
+			}
+			owed := l.owed > 0 && l.owed >= p.group.averageLatency(item.Value.unit.Route)
+			if best == nil || owed && !guaranteed || owed == guaranteed && comparePriority(item.Value, best.Value) < 0 {
+				best, guaranteed = item, owed
+			}
+		}
+	}
+	return best, guaranteed
+}
+
+// comparePriority orders units by priority, deadline and arrival.
+func comparePriority(a, b *waitingUnit) int {
+	return cmp.Or(
+		cmp.Compare(a.unit.Priority, b.unit.Priority),
+		cmp.Compare(a.unit.Deadline, b.unit.Deadline),
+		cmp.Compare(a.unit.sequence, b.unit.sequence),
+	)
+}
+
+// isBlocked reports whether no unit of the lane can be placed: none of the
+// upstreams that could run them has room.
+func (p *placementPass) isBlocked(l *line, lane int) bool {
+	if l.failures[lane] >= maxSetAside {
+		return true
+	}
+	if l.needsPrimary {
+		return !p.group.primaryHasRoom(p.now)
+	}
+	if lane == laneLagging || lane == laneLateLagging {
+		return !p.group.primaryTakesLagging(p.now)
+	}
+	return !p.group.hasAnyRoom(p.now)
+}
+
+func (g *Group) hasAnyRoom(now time.Duration) bool {
+	return g.primaryHasRoom(now) || g.replicaHasRoom(now)
+}
+
+func (g *Group) primaryHasRoom(now time.Duration) bool {
+	primary := g.upstream(g.leadership.Primary)
+	return primary != nil && g.leadership.acceptsWork(now) && primary.hasRoom(now) && primary.isReachable(now)
+}
+
+func (g *Group) replicaHasRoom(now time.Duration) bool {
+	for _, candidate := range g.upstreams {
+		if candidate.spec.ID != g.leadership.Primary && !candidate.spec.Draining && candidate.hasRoom(now) && candidate.isReachable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// chargeWaiting charges a caller for a unit that was taken from the queue, and
+// credits the other priorities with their guaranteed shares.
+func (g *Group) chargeWaiting(now time.Duration, w *waitingUnit, placement *Placement, guaranteed bool) {
+	cost := g.averageLatency(w.unit.Route)
+	placement.meter = meter{line: w.line, charge: w.line.units.Start(w.item.Flow(), cost), activeSince: now, active: true}
+	w.line.running++
+	g.creditOthers(w.line, cost)
+	w.line.owed -= cost
+	if !guaranteed {
+		w.line.owed = max(0, w.line.owed)
+	}
+}
+
+// chargeDirect charges a caller for a unit that was placed without waiting.
+func (g *Group) chargeDirect(now time.Duration, unit *Unit, placement *Placement) {
+	cost := g.averageLatency(unit.Route)
+	l := g.line(unit.Priority, unit.NeedsPrimary)
+	placement.meter = meter{line: l, charge: l.units.StartUnqueued(l.flow(unit), cost), activeSince: now, active: true}
+	l.running++
+	g.creditOthers(l, cost)
+}
+
+// creditOthers credits the other waiting lines of the same kind with their
+// guaranteed shares of a slot time that the line used.
+func (g *Group) creditOthers(used *line, cost time.Duration) {
+	for _, l := range g.lines {
+		waiting := l.units.QueuedIn(laneOnTime)+l.units.QueuedIn(laneLagging) > 0
+		if l != used && l.needsPrimary == used.needsPrimary && l.priority > 0 && waiting {
+			l.owed = min(maxOwed, l.owed+cost/(guaranteedShare-1))
+		}
+	}
+}
+
+// meter measures the time for which a unit occupies a slot.
+type meter struct {
+	line        *line
+	charge      unitCharge
+	occupied    time.Duration
+	active      bool
+	activeSince time.Duration
+}
+
+// start records that a statement occupies a slot.
+func (m *meter) start(now time.Duration) {
+	if !m.active {
+		m.active, m.activeSince = true, now
+	}
+}
+
+// stop records that no statement occupies a slot.
+func (m *meter) stop(now time.Duration) {
+	if m.active {
+		m.active = false
+		m.occupied += now - m.activeSince
+	}
+}
+
+// settle corrects the charge of the unit's caller by the time for which the unit
+// has occupied a slot.
+func (m *meter) settle(now time.Duration) {
+	if m.line == nil {
+		return
+	}
+	m.stop(now)
+	m.line.running--
+	m.line.units.End(m.charge, m.occupied)
+	m.line = nil
+}
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -83,16 +83,35 @@
 	averageLatencies map[string]time.Duration
 	// peakLatencies holds a decaying maximum of the latencies of each route.
 	peakLatencies map[string]time.Duration
-	// waiting is the queue, ordered by compareUnits.
-	waiting []*Unit
+	// waiting holds the queued units. lines, classes and rechecks order them;
+	// lines is sorted by priority.
+	waiting  map[*Unit]*waitingUnit
+	lines    []*line
+	classes  []*class
+	rechecks unitHeap
 	// lastSequence is the sequence number of the unit that was queued last.
 	lastSequence uint64
+	// primaryWantedAt is when a unit that needs the primary last came in; zero if
+	// none has.
+	primaryWantedAt time.Duration
+	// late holds what is known of late units, for those that need a primary and
+	// for reads.
+	late [2]lateUnits
+	// refusals counts the refusals, to spread the returns of their callers.
+	refusals uint64
 }
 
 // NewGroup returns a group without upstreams, for an instance in the given data
 // centre.
 func NewGroup(localDataCentre model.DataCentre) *Group {
-	return &Group{localDataCentre: localDataCentre, tracker: freshness.New(), averageLatencies: make(map[string]time.Duration), peakLatencies: make(map[string]time.Duration)}
+	return &Group{
+		localDataCentre:  localDataCentre,
+		tracker:          freshness.New(),
+		averageLatencies: make(map[string]time.Duration),
+		peakLatencies:    make(map[string]time.Duration),
+		waiting:          make(map[*Unit]*waitingUnit),
+		rechecks:         unitHeap{kind: heapRechecks},
+	}
 }
 
 // Freshness returns the tracker of the group's log positions.
@@ -144,76 +163,21 @@
 // unit is queued, and a later call of DecideWaiting returns its decision unless
 // Cancel removes it first.
 func (g *Group) Submit(now time.Duration, unit *Unit) (*Placement, *Refusal) {
+	if unit.NeedsPrimary {
+		g.primaryWantedAt = max(now, 1)
+	}
 	if refusal := g.refuseUnservable(now, unit); refusal != nil {
 		return nil, refusal
 	}
 	if placement := g.place(now, unit); placement != nil {
+		g.chargeDirect(now, unit, placement)
 		return placement, nil
 	}
-	if refusal := g.refuseToQueue(now, unit); refusal != nil {
+	g.recordIdle(now)
+	late, refusal := g.refuseToQueue(now, unit)
+	if refusal != nil {
 		return nil, refusal
 	}
-	g.enqueue(unit)
+	g.enqueue(now, unit, late)
 	return nil, nil
 }
-
-func (g *Group) enqueue(unit *Unit) {
-	g.lastSequence++
-	unit.sequence = g.lastSequence
-	index, _ := slices.BinarySearchFunc(g.waiting, unit, compareUnits)
-	g.waiting = slices.Insert(g.waiting, index, unit)
-}
-
-// compareUnits orders the queue by priority, deadline and arrival.
-func compareUnits(a, b *Unit) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(a.Deadline, b.Deadline),
-		cmp.Compare(a.sequence, b.sequence),
-	)
-}
-
-// Cancel removes a unit from the queue. It reports whether the unit was there.
-func (g *Group) Cancel(unit *Unit) bool {
-	index := slices.Index(g.waiting, unit)
-	if index < 0 {
-		return false
-	}
-	g.waiting = slices.Delete(g.waiting, index, index+1)
-	return true
-}
-
-// Waiting returns the number of units in the queue.
-func (g *Group) Waiting() int { return len(g.waiting) }
-
-// Decision ends the wait of a queued unit. Either Placement or Refusal is set.
-type Decision struct {
-	Unit      *Unit
-	Placement *Placement
-	Refusal   *Refusal
-}
-
-// DecideWaiting places the queued units that can run now, and refuses those
-// that can no longer be served in time. The others stay in the queue.
-func (g *Group) DecideWaiting(now time.Duration) []Decision {
-	var decisions []Decision
-	stillWaiting := g.waiting[:0]
-	for _, unit := range g.waiting {
-		if refusal := g.refuseUnservable(now, unit); refusal != nil {
-			decisions = append(decisions, Decision{Unit: unit, Refusal: refusal})
-			continue
-		}
-		if placement := g.place(now, unit); placement != nil {
-			decisions = append(decisions, Decision{Unit: unit, Placement: placement})
-			continue
-		}
-		if refusal := g.refuseOverdue(now, unit); refusal != nil {
-			decisions = append(decisions, Decision{Unit: unit, Refusal: refusal})
-			continue
-		}
-		stillWaiting = append(stillWaiting, unit)
-	}
-	clear(g.waiting[len(stillWaiting):])
-	g.waiting = stillWaiting
-	return decisions
-}
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -23,6 +23,7 @@
 // Release returns the connection of a placement. It is called once, when the
 // unit has ended.
 func (g *Group) Release(now time.Duration, placement *Placement) {
+	placement.meter.settle(now)
 	if held := g.upstream(placement.Upstream); held != nil && held.inUse > 0 {
 		held.inUse--
 		held.endStatement(placement)
@@ -34,6 +35,7 @@
 func (g *Group) Sent(now time.Duration, placement *Placement) {
 	if target := g.upstream(placement.Upstream); target != nil {
 		target.startStatement(placement)
+		placement.meter.start(now)
 		if target.outstanding == 0 {
 			target.silentSince = now
 		}
@@ -49,6 +51,7 @@
 		return
 	}
 	target.endStatement(placement)
+	placement.meter.stop(now)
 	target.outstanding = max(0, target.outstanding-1)
 	target.recordAnswer(now)
 	target.recordLatency(now, latency, g.averageLatency(route))
--- a/pkg/state/dispatch/place.go
+++ b/pkg/state/dispatch/place.go
@@ -29,6 +29,7 @@
 func (g *Group) placeRead(now time.Duration, unit *Unit) *Placement {
 	position, reachedAt, proven := unit.requiredPosition(g.tracker, now)
 	latency := g.averageLatency(unit.Route)
+	avoidPrimary := g.hasFreshReplica(now, unit, position, reachedAt, proven) || g.isLagging(now, unit) && !g.primaryTakesLagging(now)
 	var best *upstream
 	var bestCost time.Duration
 	for _, candidate := range g.upstreams {
@@ -36,7 +37,11 @@
 		if !usable {
 			continue
 		}
-		if candidate.spec.ID != g.leadership.Primary {
+		if candidate.spec.ID == g.leadership.Primary {
+			if avoidPrimary {
+				continue
+			}
+		} else {
 			ready := g.tracker.EstimatedWait(candidate.spec.ID, now, position, reachedAt)
 			if !proven || ready > maxCatchUp {
 				continue
--- /dev/null
+++ b/pkg/state/dispatch/primaryreads.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"gypsumdock/pkg/state/model"
+)
+
+const (
+	// primaryDemandWindow is the time since the last unit that needs the primary
+	// during which reads leave a slot of it free.
+	primaryDemandWindow = time.Second
+	// reportPriority is the priority from which on reads go to the primary only if
+	// no replica with room is fresh enough.
+	reportPriority = 2
+	// unknownCatchUp is the assumed time until a replica that has refused the read
+	// as lagging has caught up.
+	unknownCatchUp = 20 * time.Millisecond
+)
+
+// primaryIsWanted reports whether units that need the primary have come in
+// lately.
+func (g *Group) primaryIsWanted(now time.Duration) bool {
+	return g.primaryWantedAt != 0 && now-g.primaryWantedAt < primaryDemandWindow
+}
+
+// primaryReadLimit returns the number of statements that may run at the primary
+// when a read whose replicas lag is the last of them. While units that need the
+// primary come in, such reads leave one slot free for them: otherwise all reads
+// would move to the primary when its replicas fall behind.
+func (g *Group) primaryReadLimit(now time.Duration, primary *upstream) int {
+	if !g.primaryIsWanted(now) {
+		return primary.spec.MaxOutstanding
+	}
+	return min(primary.spec.MaxOutstanding, max(1, primary.spec.Slots)) - 1
+}
+
+// primaryTakesLagging reports whether the primary has room for a read whose
+// replicas lag.
+func (g *Group) primaryTakesLagging(now time.Duration) bool {
+	if !g.primaryHasRoom(now) {
+		return false
+	}
+	primary := g.upstream(g.leadership.Primary)
+	return primary.active < g.primaryReadLimit(now, primary)
+}
+
+// isLagging reports whether the read has replicas, but none of them is expected
+// to have applied the position that it requires within maxCatchUp.
+func (g *Group) isLagging(now time.Duration, unit *Unit) bool {
+	wait, found := g.catchUpTime(now, unit)
+	return found && wait > maxCatchUp
+}
+
+// catchUpTime returns the time until the first replica is expected to have
+// applied the position that the read requires. found is false if the read has no
+// replica, or no position proves one fresh enough.
+func (g *Group) catchUpTime(now time.Duration, unit *Unit) (wait time.Duration, found bool) {
+	position, reachedAt, proven := unit.requiredPosition(g.tracker, now)
+	if !proven {
+		return 0, false
+	}
+	for _, candidate := range g.upstreams {
+		if !g.isReplicaFor(now, unit, candidate) {
+			continue
+		}
+		estimated := g.tracker.EstimatedWait(candidate.spec.ID, now, position, reachedAt)
+		if unit.wasLagging(candidate.spec.ID) {
+			estimated = max(estimated, unknownCatchUp)
+		}
+		if !found || estimated < wait {
+			wait, found = estimated, true
+		}
+	}
+	return wait, found
+}
+
+// isReplicaFor reports whether the upstream is a replica that may run the read
+// once it has caught up.
+func (g *Group) isReplicaFor(now time.Duration, unit *Unit, candidate *upstream) bool {
+	id := candidate.spec.ID
+	return id != g.leadership.Primary && !candidate.spec.Draining && candidate.isReachable(now) && !unit.hasFailedAt(id)
+}
+
+// hasFreshReplica reports whether a report must not go to the primary, because a
+// replica with room can run it now.
+func (g *Group) hasFreshReplica(now time.Duration, unit *Unit, position model.Position, reachedAt time.Duration, proven bool) bool {
+	if unit.Priority < reportPriority || !proven {
+		return false
+	}
+	for _, candidate := range g.upstreams {
+		if g.isReplicaFor(now, unit, candidate) && !unit.wasLagging(candidate.spec.ID) && candidate.hasRoom(now) &&
+			g.tracker.EstimatedWait(candidate.spec.ID, now, position, reachedAt) <= maxCatchUp {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/state/dispatch/unit.go
+++ b/pkg/state/dispatch/unit.go
@@ -17,6 +17,9 @@
 	Caller model.CallerName
 	// Session identifies the session of the unit among those of its caller.
 	Session uint64
+	// Weight is the share of the caller relative to others; values below one
+	// count as one.
+	Weight int
 	// NeedsPrimary is set for writes and for reads of the latest data.
 	NeedsPrimary bool
 	// Priority orders the queue; 0 comes first.
@@ -26,8 +29,8 @@
 	Arrived  time.Duration
 	Deadline time.Duration
 	// Target is when the caller wants the answer; zero if it is not set. A unit
-	// does not stay in the queue past it: its answer would be late anyway, and
-	// running it would make other units late.
+	// that can no longer meet it runs only when no unit that can still be on time
+	// needs the slot.
 	Target time.Duration
 	// MaxAge is the staleness that a read accepts: it may miss writes that are
 	// more recent than that.
@@ -67,6 +70,8 @@
 	// active is set while the unit has a statement at the upstream, or is about
 	// to send its first. It is false while a transaction waits for its caller.
 	active bool
+	// meter measures the slot time that the unit's caller is charged.
+	meter meter
 }
 
 // Refusal reports that a unit cannot be served in time. No part of it has run.
@@ -116,6 +121,17 @@
 	return position, reachedAt, true
 }
 
+// wantedUntil returns the time at which the unit's answer becomes late.
+func (u *Unit) wantedUntil() time.Duration {
+	if u.Target != 0 {
+		return min(u.Target, u.Deadline)
+	}
+	return u.Deadline
+}
+
+// canBeLate reports whether the answer is of use after the target.
+func (u *Unit) canBeLate() bool { return u.Target != 0 && u.Deadline > u.Target }
+
 func (u *Unit) hasFailedAt(id model.UpstreamID) bool { return slices.Contains(u.FailedUpstreams, id) }
 
 func (u *Unit) wasLagging(id model.UpstreamID) bool { return slices.Contains(u.LaggingReplicas, id) }
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -44,6 +44,12 @@
 	AdmissionRefused = counter("gypsumdock_admission_refused_total", "Units of work refused because they would miss their deadline.", "group")
 )
 
+// Metrics of the queues of the groups.
+var (
+	PriorityWaitSeconds = histogram("gypsumdock_priority_wait_seconds", "Time that a unit of work waited in the queue of its group until it got an upstream or was refused, by priority of its route: 0, 1, 2 or lower.", "priority")
+	PriorityRefused     = counter("gypsumdock_priority_refused_total", "Units of work that the queue of their group refused, by priority of their route and reason.", "priority", "reason")
+)
+
 // Metrics of the configuration, the platform, and the instance's checks of
 // itself.
 var (
--- a/pkg/transport/textfront/recorder.go
+++ b/pkg/transport/textfront/recorder.go
@@ -82,6 +82,9 @@
 		slog.Int("tries", u.attempts),
 		slog.Duration("age", now-u.spec.Arrived),
 	}
+	if u.spec.Caller != "" {
+		attrs = append(attrs, slog.String("caller", string(u.spec.Caller)))
+	}
 	if u.placement != nil {
 		attrs = append(attrs,
 			slog.String("upstream", string(u.placement.Upstream)),
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -64,7 +64,7 @@
 	if !s.config.Dispatch.Serves(route.Group) {
 		return nil, meshpb.UnitRefusal_UNIT_REFUSAL_NOT_SERVED
 	}
-	unit := &session{server: s, socket: conn, prepared: make(map[string]prepared), forwarded: route}
+	unit := &session{server: s, number: s.lastSession.Add(1), socket: conn, prepared: make(map[string]prepared), forwarded: route}
 	unit.mark = model.Position{Term: open.GetMarkTerm(), LSN: model.LSN(open.GetMarkLsn())}
 	unit.markAt = s.config.Dispatch.Now() - boundedTime(open.GetMarkAgeMs(), time.Millisecond)
 	if open.GetTransaction() {
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -64,6 +64,8 @@
 	sessions map[*session]struct{}
 	// units holds the units of work that peers forward.
 	units map[*session]struct{}
+	// lastSession is the number of the session that was created last.
+	lastSession atomic.Uint64
 }
 
 // drain is a period in which idle sessions are closed so that their callers
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -44,7 +44,9 @@
 	start statement.Start
 	// caller is the client account that the session's access key identifies; empty
 	// if the route needs no key.
-	caller   model.CallerName
+	caller model.CallerName
+	// number identifies the session on this instance.
+	number   uint64
 	values   map[string]string
 	prepared map[string]prepared
 	state    statement.State
@@ -70,6 +72,7 @@
 func newSession(server *Server, socket net.Conn) *session {
 	return &session{
 		server:   server,
+		number:   server.lastSession.Add(1),
 		socket:   socket,
 		reader:   bufio.NewReaderSize(socket, callerBufferBytes),
 		input:    lines.NewInputProbe(socket),
--- a/pkg/transport/textfront/unit.go
+++ b/pkg/transport/textfront/unit.go
@@ -59,6 +59,8 @@
 	u.spec = dispatch.Unit{
 		Route:        route.Name,
 		Caller:       s.caller,
+		Session:      s.number,
+		Weight:       callerWeight(s.server.config.Dispatch.Catalog(), s.caller),
 		NeedsPrimary: needsPrimary || route.Consistency == catalog.Strong,
 		Priority:     route.Priority,
 		MaxAge:       route.MaxAge,
@@ -100,7 +102,9 @@
 func (u *unit) acquire(checkAlive bool) bool {
 	for u.attempts < maxAttempts && !u.isPastDeadline() {
 		u.attempts++
+		requestedAt := u.dispatch().Now()
 		placement, refusal := u.dispatch().Acquire(u.session.server.ctx, u.route.Group, &u.spec)
+		recordWait(u.spec.Priority, u.dispatch().Now()-requestedAt, refusal)
 		if refusal != nil {
 			u.refusal = refusal
 			return false
