Dispatch: bound a caller over all priorities; tests of the queue's rules

Change: a caller that uses more than twice its share of the slot time, and more than an eighth, comes behind the others of its kind in all priorities. Tests of the isolation of callers, of priorities, late units and reads at the primary.

--- a/pkg/state/dispatch/decide.go
+++ b/pkg/state/dispatch/decide.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"gypsumdock/pkg/state/model"
 )
 
 const (
@@ -116,22 +118,57 @@
 	return p.nextOf(laneLate, laneLateLagging)
 }
 
-// nextOf returns the next unit of two lanes: one of a line that is behind its
-// guaranteed share, otherwise one of the highest priority.
+// rank orders the units that could be placed next; the lowest comes first.
+type rank int
+
+const (
+	// rankGuaranteed is that of a priority that is behind its guaranteed share.
+	rankGuaranteed rank = iota
+	rankUsual
+	// rankExcess is that of a caller that uses more than its share of the slots
+	// with this priority and higher ones.
+	rankExcess
+)
+
+// nextOf returns the next unit of two lanes. Ranks and priorities order the units
+// of a kind, and only priorities the two kinds: a caller whose writes take much
+// of the primary is not put behind reads that could run elsewhere.
 func (p *placementPass) nextOf(ready, lagging int) (best *queuedUnit, guaranteed bool) {
+	for _, needsPrimary := range [...]bool{true, false} {
+		item, first := p.nextOfKind(needsPrimary, ready, lagging)
+		if item != nil && (best == nil || comparePriority(item.Value, best.Value) < 0) {
+			best, guaranteed = item, first == rankGuaranteed
+		}
+	}
+	return best, guaranteed
+}
+
+// nextOfKind returns the next unit of a kind in two lanes, by rank and priority.
+func (p *placementPass) nextOfKind(needsPrimary bool, ready, lagging int) (best *queuedUnit, bestRank rank) {
 	for _, l := range p.group.lines {
 		for _, lane := range [...]int{ready, lagging} {
 			item := l.units.Next(lane)
-			if item == nil || p.isBlocked(l, lane) {
+			if l.needsPrimary != needsPrimary || item == nil || p.isBlocked(l, lane) {
 				continue
 			}
-			owed := l.owed > 0 && l.owed >= p.group.averageLatency(item.Value.unit.Route)
-			if best == nil || owed && !guaranteed || owed == guaranteed && comparePriority(item.Value, best.Value) < 0 {
-				best, guaranteed = item, owed
+			rank := p.rankOf(l, item.Value.unit)
+			if best == nil || rank < bestRank || rank == bestRank && comparePriority(item.Value, best.Value) < 0 {
+				best, bestRank = item, rank
 			}
 		}
 	}
-	return best, guaranteed
+	return best, bestRank
+}
+
+func (p *placementPass) rankOf(l *line, unit *Unit) rank {
+	switch {
+	case l.owed > 0 && l.owed >= p.group.averageLatency(unit.Route):
+		return rankGuaranteed
+	case p.group.usageOf(l).isExcessive(p.now, p.group.capacity(l.needsPrimary), unit.Caller, l.priority):
+		return rankExcess
+	default:
+		return rankUsual
+	}
 }
 
 // comparePriority orders units by priority, deadline and arrival.
@@ -180,8 +217,7 @@
 // credits the other priorities with their guaranteed shares.
 func (g *Group) chargeWaiting(now time.Duration, w *waitingUnit, placement *Placement, guaranteed bool) {
 	cost := g.averageLatency(w.unit.Route)
-	placement.meter = meter{line: w.line, charge: w.line.units.Start(w.item.Flow(), cost), activeSince: now, active: true}
-	w.line.running++
+	placement.meter = newMeter(now, w.unit, w.line, w.line.units.Start(w.item.Flow(), cost))
 	g.creditOthers(w.line, cost)
 	w.line.owed -= cost
 	if !guaranteed {
@@ -193,8 +229,7 @@
 func (g *Group) chargeDirect(now time.Duration, unit *Unit, placement *Placement) {
 	cost := g.averageLatency(unit.Route)
 	l := g.line(unit.Priority, unit.NeedsPrimary)
-	placement.meter = meter{line: l, charge: l.units.StartUnqueued(l.flow(unit), cost), activeSince: now, active: true}
-	l.running++
+	placement.meter = newMeter(now, unit, l, l.units.StartUnqueued(l.flow(unit), cost))
 	g.creditOthers(l, cost)
 }
 
@@ -212,12 +247,20 @@
 // meter measures the time for which a unit occupies a slot.
 type meter struct {
 	line        *line
+	caller      model.CallerName
+	weight      int
 	charge      unitCharge
 	occupied    time.Duration
 	active      bool
 	activeSince time.Duration
 }
 
+// newMeter returns the meter of a unit that was placed now.
+func newMeter(now time.Duration, unit *Unit, l *line, charge unitCharge) meter {
+	l.running++
+	return meter{line: l, caller: unit.Caller, weight: unit.Weight, charge: charge, activeSince: now, active: true}
+}
+
 // start records that a statement occupies a slot.
 func (m *meter) start(now time.Duration) {
 	if !m.active {
@@ -233,14 +276,15 @@
 	}
 }
 
-// settle corrects the charge of the unit's caller by the time for which the unit
+// settle corrects the charge of a unit's caller by the time for which the unit
 // has occupied a slot.
-func (m *meter) settle(now time.Duration) {
+func (g *Group) settle(now time.Duration, m *meter) {
 	if m.line == nil {
 		return
 	}
 	m.stop(now)
 	m.line.running--
 	m.line.units.End(m.charge, m.occupied)
+	g.usageOf(m.line).charge(now, g.capacity(m.line.needsPrimary), m.caller, m.line.priority, m.weight, m.occupied)
 	m.line = nil
 }
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -94,9 +94,10 @@
 	// primaryWantedAt is when a unit that needs the primary last came in; zero if
 	// none has.
 	primaryWantedAt time.Duration
-	// late holds what is known of late units, for those that need a primary and
-	// for reads.
+	// late holds what is known of late units, by kindIndex.
 	late [2]lateUnits
+	// usages measures the callers' use of the slots, by kindIndex.
+	usages [2]usage
 	// refusals counts the refusals, to spread the returns of their callers.
 	refusals uint64
 }
--- a/pkg/state/dispatch/late.go
+++ b/pkg/state/dispatch/late.go
@@ -6,13 +6,9 @@
 )
 
 const (
-	// lateMemory is the time after the refusal of a late unit in the queue during
-	// which the number of late units is bounded by the rate at which they have
-	// been served.
-	lateMemory = 2 * time.Second
 	// lateOptimism is the time since no unit that could be on time was waiting after
-	// which that bound applies too: the overload lasts, and a late unit admitted
-	// now would most likely wait in vain.
+	// which the number of late units is bounded by the rate at which they have been
+	// served. The overload lasts by then, and most late units would wait in vain.
 	lateOptimism = 500 * time.Millisecond
 	// lateRateSpan is the time constant of that rate.
 	lateRateSpan = time.Second
@@ -32,14 +28,7 @@
 }
 
 // lateServed returns what is known of the late units of a kind.
-func (g *Group) lateServed(needsPrimary bool) *lateUnits { return &g.late[lateIndex(needsPrimary)] }
-
-func lateIndex(needsPrimary bool) int {
-	if needsPrimary {
-		return 0
-	}
-	return 1
-}
+func (g *Group) lateServed(needsPrimary bool) *lateUnits { return &g.late[kindIndex(needsPrimary)] }
 
 // recordIdle records the kinds of units of which none that could be on time is
 // waiting.
@@ -47,7 +36,7 @@
 	busy := [len(g.late)]bool{}
 	for _, l := range g.lines {
 		if l.onTime() > 0 {
-			busy[lateIndex(l.needsPrimary)] = true
+			busy[kindIndex(l.needsPrimary)] = true
 		}
 	}
 	for i := range g.late {
@@ -80,8 +69,7 @@
 		return false
 	}
 	known := g.lateServed(unit.NeedsPrimary)
-	expired := known.expiredAt != 0 && now-known.expiredAt < lateMemory
-	if !expired && now-known.idleAt < lateOptimism {
+	if now-known.idleAt < lateOptimism && known.expiredAt <= known.idleAt {
 		return true
 	}
 	expected := known.servedIn(now) * left.Seconds() / lateRateSpan.Seconds()
--- a/pkg/state/dispatch/load_test.go
+++ b/pkg/state/dispatch/load_test.go
@@ -13,9 +13,10 @@
 )
 
 // simulation runs a load against one group in virtual time. Units arrive at
-// random with a given mean rate; each upstream runs two statements at once and
-// queues the rest.
+// random with a given mean rate; each upstream runs as many statements at once
+// as it has slots and queues the rest.
 type simulation struct {
+	slots int
 	group     *dispatch.Group
 	random    *rand.Rand
 	now       time.Duration
@@ -29,6 +30,16 @@
 	// counts holds the number of units by result and route, such as "late read",
 	// and by upstream, such as "at b".
 	counts map[string]int
+	// label returns the name under which a unit is counted.
+	label func(unit *dispatch.Unit) string
+	// ended is called when a unit was answered or refused; it may be nil.
+	ended func(unit *dispatch.Unit, refusal *dispatch.Refusal)
+	// placed is called when a unit is placed; it may be nil.
+	placed func(entry *job)
+	// longestWait is the longest wait of a placed unit, by label.
+	longestWait map[string]time.Duration
+	// slotTime is the time for which units occupied slots, by label.
+	slotTime map[string]time.Duration
 }
 
 // job is a submitted unit.
@@ -38,6 +49,10 @@
 	// work is the time for which the unit occupies a slot.
 	work   time.Duration
 	sentAt time.Duration
+	// statements is the number of further statements of a transaction, with
+	// pause before each.
+	statements int
+	pause      time.Duration
 }
 
 type event struct {
@@ -60,6 +75,11 @@
 
 func newSimulation(group *dispatch.Group) *simulation {
 	return &simulation{
+		slots:       2,
+		label:       func(unit *dispatch.Unit) string { return unit.Route },
+		longestWait: map[string]time.Duration{},
+		slotTime:    map[string]time.Duration{},
+
 		group:     group,
 		random:    rand.New(rand.NewPCG(1, 2)),
 		queues:    map[model.UpstreamID][]*job{},
@@ -77,15 +97,16 @@
 }
 
 // scheduleArrivals submits units at the mean rate perSecond until the time
-// until. The work of a unit varies between half and one and a half times work.
+// until, unless newUnit returns nil. The work of a unit varies between half and one and a half times work.
 func (s *simulation) scheduleArrivals(perSecond float64, until time.Duration, newUnit func(time.Duration) *dispatch.Unit, work time.Duration) {
 	s.after(time.Duration(s.random.ExpFloat64()*float64(time.Second)/perSecond), func() {
 		if s.now >= until {
 			return
 		}
-		unit := newUnit(s.now)
-		s.jobs[unit] = &job{unit: unit, work: time.Duration((0.5 + s.random.Float64()) * float64(work))}
-		s.submit(unit)
+		if unit := newUnit(s.now); unit != nil {
+			s.jobs[unit] = &job{unit: unit, work: time.Duration((0.5 + s.random.Float64()) * float64(work))}
+			s.submit(unit)
+		}
 		s.scheduleArrivals(perSecond, until, newUnit, work)
 	})
 }
@@ -99,16 +120,22 @@
 
 func (s *simulation) applyDecision(d dispatch.Decision) {
 	if d.Refusal != nil {
-		s.counts["refused "+d.Unit.Route]++
+		s.counts["refused "+s.label(d.Unit)]++
 		if s.now-d.Unit.Arrived > (d.Unit.Target-d.Unit.Arrived)/2 {
 			s.counts["refused late"]++
 		}
+		s.end(d.Unit, d.Refusal)
 		return
 	}
 	entry := s.jobs[d.Unit]
 	entry.placement = d.Placement
 	entry.sentAt = s.now
 	s.counts["at "+string(d.Placement.Upstream)]++
+	if s.placed != nil {
+		s.placed(entry)
+	}
+	label := s.label(d.Unit)
+	s.longestWait[label] = max(s.longestWait[label], s.now-d.Unit.Arrived)
 	s.group.Sent(s.now, d.Placement)
 	if !d.Placement.RequiredPosition.IsZero() && s.appliedPosition(d.Placement.Upstream, s.now).Before(d.Placement.RequiredPosition) {
 		s.after(millis(2), func() { s.answerLagging(entry) })
@@ -132,8 +159,7 @@
 }
 
 func (s *simulation) startNext(id model.UpstreamID) {
-	const slots = 2
-	if s.busySlots[id] >= slots || len(s.queues[id]) == 0 {
+	if s.busySlots[id] >= s.slots || len(s.queues[id]) == 0 {
 		return
 	}
 	entry := s.queues[id][0]
@@ -145,7 +171,15 @@
 func (s *simulation) finish(entry *job) {
 	id := entry.placement.Upstream
 	s.busySlots[id]--
+	s.slotTime[s.label(entry.unit)] += entry.work
 	s.group.Answered(s.now, entry.placement, entry.unit.Route, s.now-entry.sentAt)
+	if entry.statements > 0 {
+		entry.statements--
+		s.after(entry.pause, func() { s.sendNext(entry) })
+		s.startNext(id)
+		s.decideWaiting()
+		return
+	}
 	s.group.Release(s.now, entry.placement)
 	if entry.placement.Primary {
 		samplePrimary(s.group, entry.sentAt)
@@ -153,15 +187,33 @@
 		s.group.Freshness().AddReplicaSample(id, entry.sentAt, s.appliedPosition(id, s.now))
 	}
 	switch {
+	case s.now > entry.unit.Deadline:
+		s.counts["missed "+s.label(entry.unit)]++
 	case s.now <= entry.unit.Target:
-		s.counts["in time "+entry.unit.Route]++
+		s.counts["in time "+s.label(entry.unit)]++
 	default:
-		s.counts["late "+entry.unit.Route]++
+		s.counts["late "+s.label(entry.unit)]++
 	}
+	s.end(entry.unit, nil)
 	s.startNext(id)
 	s.decideWaiting()
 }
 
+// sendNext sends the next statement of a transaction.
+func (s *simulation) sendNext(entry *job) {
+	entry.sentAt = s.now
+	s.group.Sent(s.now, entry.placement)
+	s.queues[entry.placement.Upstream] = append(s.queues[entry.placement.Upstream], entry)
+	s.startNext(entry.placement.Upstream)
+}
+
+func (s *simulation) end(unit *dispatch.Unit, refusal *dispatch.Refusal) {
+	delete(s.jobs, unit)
+	if s.ended != nil {
+		s.ended(unit, refusal)
+	}
+}
+
 func (s *simulation) decideWaiting() {
 	for _, d := range s.group.DecideWaiting(s.now) {
 		s.applyDecision(d)
@@ -183,7 +235,7 @@
 
 // share returns the fraction of the route's units that had the result.
 func (s *simulation) share(result string, route string) float64 {
-	total := s.counts["in time "+route] + s.counts["late "+route] + s.counts["refused "+route]
+	total := s.counts["in time "+route] + s.counts["late "+route] + s.counts["missed "+route] + s.counts["refused "+route]
 	return float64(s.counts[result+" "+route]) / float64(total)
 }
 
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -23,7 +23,7 @@
 // Release returns the connection of a placement. It is called once, when the
 // unit has ended.
 func (g *Group) Release(now time.Duration, placement *Placement) {
-	placement.meter.settle(now)
+	g.settle(now, &placement.meter)
 	if held := g.upstream(placement.Upstream); held != nil && held.inUse > 0 {
 		held.inUse--
 		held.endStatement(placement)
--- /dev/null
+++ b/pkg/state/dispatch/primaryreads_test.go
@@ -0,0 +1,142 @@
+package dispatch_test
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/dispatch"
+	"gypsumdock/pkg/state/model"
+)
+
+// wave is a load between -1 and 1 with a period of four seconds.
+func wave(now time.Duration) float64 { return math.Sin(2 * math.Pi * now.Seconds() / 4) }
+
+var _ = Describe("reads at the primary", func() {
+	// The load of the deployment with 73 instances at one group: 70% of it reads
+	// that see the session's own writes, in waves of plus and minus half, while
+	// replicas lag by 50 to 100 times the usual 35 ms.
+	run := func(withReads bool) (s *callerSimulation, lastSlot int) {
+		const length = 20 * time.Second
+		s = newCallerSimulation(newBusyGroup())
+		s.label = func(unit *dispatch.Unit) string { return unit.Route }
+		s.appliedPosition = func(_ model.UpstreamID, now time.Duration) model.Position {
+			lag := millis(35)
+			if now > 4*time.Second && now < 16*time.Second {
+				lag = time.Duration((75 + 25*wave(now)) * float64(lag))
+			}
+			return model.Position{Term: 1, LSN: model.LSN(max(0, now-lag) / millis(1))}
+		}
+		arrivals := func(perSecond float64, route int, work time.Duration) {
+			s.scheduleArrivals(1.5*perSecond, length, func(now time.Duration) *dispatch.Unit {
+				if s.random.Float64()*1.5 > 1+0.5*wave(now) {
+					return nil
+				}
+				unit := newRouteUnit(route, now, "", 0)
+				if route == listings {
+					unit.MarkAt = now - millis(10*s.random.IntN(100))
+					unit.Mark = model.Position{Term: 1, LSN: model.LSN(max(1, unit.MarkAt/millis(1)))}
+				}
+				return unit
+			}, work)
+		}
+		arrivals(150, checkouts, millis(6))
+		if withReads {
+			arrivals(350, listings, millis(18))
+		}
+		s.placed = func(entry *job) {
+			id := entry.placement.Upstream
+			lagged := s.now > 5*time.Second && s.now < 16*time.Second
+			if id == primary && !entry.unit.NeedsPrimary && lagged && s.busySlots[id]+len(s.queues[id]) >= s.slots-1 {
+				lastSlot++
+			}
+		}
+		s.run(length + 2*time.Second)
+		GinkgoWriter.Println(s.counts, s.longestWait, lastSlot)
+		return s, lastSlot
+	}
+
+	// Guards against reads that fill the primary when replicas fall behind: the
+	// units that need it had to wait for a read to end.
+	It("leave a slot to the units that need it while replicas lag", func() {
+		alone, _ := run(false)
+		together, lastSlot := run(true)
+		Expect(lastSlot).To(BeZero())
+		Expect(together.share("in time", "checkout")).To(BeNumerically(">=", alone.share("in time", "checkout")-0.001))
+		Expect(together.counts["missed listing"]).To(BeZero())
+		// Slots that the units which need the primary leave are used.
+		Expect(together.counts["at a"]).To(BeNumerically(">", alone.counts["at a"]+1000))
+	})
+
+	newLagging := func(localLag, remoteLag time.Duration) *dispatch.Group {
+		group := newBusyGroup()
+		for at := 0; at <= 4000; at += 50 {
+			samplePrimary(group, millis(at))
+		}
+		for id, lag := range map[model.UpstreamID]time.Duration{localReplica: localLag, remoteReplica: remoteLag} {
+			applied := model.Position{Term: 1, LSN: model.LSN((millis(4000) - lag) / millis(1))}
+			group.Freshness().AddReplicaSample(id, millis(4000), applied)
+		}
+		return group
+	}
+	newMarked := func(now time.Duration) *dispatch.Unit {
+		unit := newRouteUnit(listings, now, "", 0)
+		unit.MarkAt, unit.Mark = millis(4000), model.Position{Term: 1, LSN: 4000}
+		return unit
+	}
+	now := millis(4010)
+
+	It("wait for the replica that is expected to catch up first", func() {
+		group := newLagging(millis(150), millis(75))
+		for range 4 {
+			placement, _ := group.Submit(now, newRouteUnit(checkouts, now, "", 0))
+			Expect(placement).NotTo(BeNil())
+		}
+		read := queue(group, now, newMarked(now))
+		Expect(group.DecideWaiting(millis(4030))).To(BeEmpty())
+		decisions := group.DecideWaiting(millis(4060))
+		Expect(decisions).To(HaveLen(1))
+		Expect(decisions[0].Unit).To(Equal(read))
+		Expect(decisions[0].Placement.Upstream).To(Equal(remoteReplica))
+	})
+
+	It("are refused at once if neither a replica nor the primary can answer in time", func() {
+		group := newLagging(millis(3500), millis(3500))
+		group.SetUpstreams([]dispatch.UpstreamSpec{
+			{ID: primary, Slots: 1, MaxConnections: 5, MaxOutstanding: 1},
+			{ID: localReplica, Slots: 5, MaxConnections: 5, MaxOutstanding: 5},
+			{ID: remoteReplica, Slots: 5, MaxConnections: 5, MaxOutstanding: 5},
+		})
+		group.Submit(now, newRouteUnit(checkouts, now, "", 0))
+		placement, refusal := group.Submit(now, newMarked(now))
+		Expect(placement).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(dispatch.RefusedQueueTooLong))
+	})
+
+	// Guards against reports at an idle primary while a replica elsewhere has room.
+	It("of reports come after every replica that is fresh enough, in another data centre too", func() {
+		newGroup := func() *dispatch.Group {
+			group := newBusyGroup()
+			samplePrimary(group, millis(4000))
+			group.SetUpstreams([]dispatch.UpstreamSpec{
+				{ID: primary, DataCentre: "quay-east", Slots: 5, MaxConnections: 70, MaxOutstanding: 5},
+				{ID: remoteReplica, DataCentre: "gate-north", Slots: 5, MaxConnections: 70, MaxOutstanding: 5},
+			})
+			return group
+		}
+		atPrimary := func(route int) (count int) {
+			group := newGroup()
+			for range 5 {
+				if placement, _ := group.Submit(now, newRouteUnit(route, now, "", 0)); placement.Primary {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(atPrimary(reports)).To(BeZero())
+		Expect(atPrimary(listings)).NotTo(BeZero())
+	})
+})
--- /dev/null
+++ b/pkg/state/dispatch/queue_test.go
@@ -0,0 +1,187 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/dispatch"
+	"gypsumdock/pkg/state/model"
+)
+
+// newPrimaryOnly returns a group of a primary with the given number of slots.
+func newPrimaryOnly(slots int) *dispatch.Group {
+	group := dispatch.NewGroup("quay-east")
+	group.SetUpstreams([]dispatch.UpstreamSpec{
+		{ID: primary, DataCentre: "quay-east", Slots: slots, MaxConnections: 70, MaxOutstanding: slots},
+	})
+	group.SetLeadership(dispatch.Leadership{Generation: 1, Primary: primary, PermitUntil: forever, Term: 1})
+	return group
+}
+
+// fill submits units of a route until none is placed, and returns the
+// placements. The last unit stays in the queue.
+func fill(group *dispatch.Group, route int) []*dispatch.Placement {
+	var placements []*dispatch.Placement
+	for {
+		placement, _ := group.Submit(0, newRouteUnit(route, 0, "", 0))
+		if placement == nil {
+			return placements
+		}
+		placements = append(placements, placement)
+	}
+}
+
+// queue submits a unit that must not be placed or refused.
+func queue(group *dispatch.Group, now time.Duration, unit *dispatch.Unit) *dispatch.Unit {
+	placement, refusal := group.Submit(now, unit)
+	ExpectWithOffset(1, placement).To(BeNil())
+	ExpectWithOffset(1, refusal).To(BeNil())
+	return unit
+}
+
+// releaseInTurn frees one slot after another and returns the units that are
+// placed, until the queue is empty.
+func releaseInTurn(group *dispatch.Group, now time.Duration, placement *dispatch.Placement) []*dispatch.Unit {
+	var order []*dispatch.Unit
+	for placement != nil {
+		group.Release(now, placement)
+		placement = nil
+		for _, decision := range group.DecideWaiting(now) {
+			if decision.Placement != nil {
+				order = append(order, decision.Unit)
+				placement = decision.Placement
+			}
+		}
+	}
+	return order
+}
+
+var _ = Describe("the queue", func() {
+	It("orders units without callers by deadline and arrival, in one priority", func() {
+		group := newPrimaryOnly(1)
+		held, _ := group.Submit(0, newRouteUnit(checkouts, 0, "", 0))
+		var units []*dispatch.Unit
+		for i, deadline := range []int{800, 700, 800, 600} {
+			unit := newRouteUnit(checkouts, 0, "", uint64(i))
+			unit.Deadline = millis(deadline)
+			units = append(units, queue(group, 0, unit))
+		}
+		Expect(releaseInTurn(group, millis(1), held)).To(Equal([]*dispatch.Unit{units[3], units[1], units[0], units[2]}))
+	})
+
+	It("serves the highest priority first, without callers too", func() {
+		group := newPrimaryOnly(1)
+		held, _ := group.Submit(0, newRouteUnit(checkouts, 0, "", 0))
+		low := newRouteUnit(listings, 0, "", 0)
+		low.NeedsPrimary = true
+		low.Deadline = millis(500)
+		queue(group, 0, low)
+		high := queue(group, 0, newRouteUnit(checkouts, 0, "", 0))
+		Expect(releaseInTurn(group, millis(1), held)).To(Equal([]*dispatch.Unit{high, low}))
+	})
+
+	// Guards against a caller that opens sessions to be served more often, and
+	// against a weight that is not applied.
+	It("shares the slots of a priority by caller and weight", func() {
+		group := newPrimaryOnly(1)
+		held, _ := group.Submit(0, newRouteUnit(checkouts, 0, "", 0))
+		for i := range 20 {
+			for _, caller := range []model.CallerName{"four", "one"} {
+				unit := newRouteUnit(checkouts, 0, caller, uint64(i))
+				if caller == "four" {
+					unit.Session, unit.Weight = 0, 4
+				}
+				unit.Target, unit.Deadline = 0, forever
+				queue(group, 0, unit)
+			}
+		}
+		served := map[model.CallerName]int{}
+		placement := held
+		for i := range 20 {
+			now := millis(6 * (i + 1))
+			group.Release(now, placement)
+			decisions := group.DecideWaiting(now)
+			Expect(decisions).To(HaveLen(1))
+			placement = decisions[0].Placement
+			served[decisions[0].Unit.Caller]++
+		}
+		Expect(served["four"]).To(BeNumerically("~", 16, 1))
+	})
+
+	// Guards against a full primary that holds up reads for free replicas.
+	It("places reads while units wait for the primary, and the reverse", func() {
+		group := newBusyGroup()
+		samplePrimary(group, 0)
+		writes, reads := []*dispatch.Placement{}, []*dispatch.Placement{}
+		for range 15 {
+			placement, _ := group.Submit(0, newRouteUnit(listings, 0, "", 0))
+			reads = append(reads, placement)
+		}
+		write := queue(group, 0, newRouteUnit(checkouts, 0, "", 0))
+		read := queue(group, 0, newRouteUnit(listings, 0, "", 0))
+		for _, placement := range reads {
+			if placement.Primary {
+				writes = append(writes, placement)
+			} else {
+				group.Release(millis(5), placement)
+				break
+			}
+		}
+		decisions := group.DecideWaiting(millis(5))
+		Expect(decisions).To(HaveLen(1))
+		Expect(decisions[0].Unit).To(Equal(read))
+		read = queue(group, millis(5), newRouteUnit(listings, millis(5), "", 0))
+		for _, placement := range append(writes, reads...) {
+			if placement.Primary {
+				group.Release(millis(6), placement)
+				break
+			}
+		}
+		decisions = group.DecideWaiting(millis(6))
+		Expect(decisions).To(HaveLen(1))
+		Expect(decisions[0].Unit).To(Equal(write))
+		Expect(group.Cancel(read)).To(BeTrue())
+		Expect(group.Waiting()).To(BeZero())
+	})
+})
+
+var _ = Describe("priorities", func() {
+	const length = 15 * time.Second
+
+	// Guards against reports that hold all slots: priority 0 waits for no more than
+	// the statement that runs.
+	It("keep checkouts from waiting for a burst of reports", func() {
+		s := newCallerSimulation(newBusyGroup())
+		for number := range callerCount {
+			s.schedule(checkouts, number, 0.5, length)
+			s.schedule(reports, number, 2.2*3, length)
+		}
+		s.run(length + 3*time.Second)
+		GinkgoWriter.Println(s.counts, s.longestWait)
+		Expect(s.share("refused", "report")).To(BeNumerically(">", 0.05))
+		Expect(s.share("in time", "checkout")).To(BeNumerically(">", 0.999))
+		Expect(s.longestWait["checkout"]).To(BeNumerically("<=", routes[reports].work*3/2))
+		Expect(s.counts["missed report"]).To(BeZero())
+	})
+
+	// Guards against a lower priority that gets nothing while higher ones fill all
+	// slots, and against one that gets its part too late.
+	It("leave an eighth of the slot time to reports while listings fill all slots", func() {
+		s := newCallerSimulation(newBusyGroup())
+		s.label = func(unit *dispatch.Unit) string { return unit.Route }
+		for number := range callerCount {
+			s.schedule(listings, number, 4, length)
+			s.schedule(reports, number, 2.2, length)
+		}
+		s.run(length + 3*time.Second)
+		GinkgoWriter.Println(s.counts, s.slotTime)
+		total := s.slotTime["listing"] + s.slotTime["report"]
+		Expect(total.Seconds()).To(BeNumerically(">", 0.9*15*length.Seconds()))
+		Expect(s.slotTime["report"].Seconds()).To(BeNumerically(">", 0.95*total.Seconds()/8))
+		Expect(s.slotTime["report"].Seconds()).To(BeNumerically("<", 1.5*total.Seconds()/8))
+		Expect(s.counts["missed report"]).To(BeZero())
+		Expect(s.share("in time", "report") + s.share("late", "report")).To(BeNumerically(">", 0.3))
+	})
+})
--- a/pkg/state/dispatch/refuse.go
+++ b/pkg/state/dispatch/refuse.go
@@ -32,10 +32,10 @@
 		for first := c.deadlines.first(); first != nil; first = c.deadlines.first() {
 			var refusal *Refusal
 			switch {
+			case first.isLate() && !awaits && now >= g.lastStart(first.unit):
+				g.lateServed(first.unit.NeedsPrimary).recordExpired(now)
+				refusal = g.refuseTooLong(now, first.unit)
 			case g.isTooLate(now, first.unit):
-				if first.isLate() {
-					g.lateServed(first.unit.NeedsPrimary).recordExpired(now)
-				}
 				refusal = g.refuseTooLong(now, first.unit)
 			case awaits:
 				refusal = g.refuseWithoutPrimary(now, first.unit)
@@ -141,7 +141,7 @@
 	if g.awaitsPrimary(now, unit) {
 		return false, nil
 	}
-	wait, found := g.queueWait(now, unit, g.unitsAhead(unit)+1)
+	wait, found := g.queueWait(now, unit, g.unitsAhead(now, unit)+1)
 	if found && now+wait <= g.lastAdmission(unit) {
 		return false, nil
 	}
@@ -154,7 +154,7 @@
 // refuseTooLong returns a refusal because of the queue. The times to come back
 // are spread over as much again as the expected wait.
 func (g *Group) refuseTooLong(now time.Duration, unit *Unit) *Refusal {
-	wait, found := g.queueWait(now, unit, g.unitsAhead(unit)+1)
+	wait, found := g.queueWait(now, unit, g.unitsAhead(now, unit)+1)
 	if !found {
 		wait = g.catchUpOrUnknown(now, unit)
 	}
@@ -187,7 +187,7 @@
 
 // unitsAhead estimates the number of queued units of the same kind that leave
 // the queue before the unit if it can be on time.
-func (g *Group) unitsAhead(unit *Unit) int {
+func (g *Group) unitsAhead(now time.Duration, unit *Unit) int {
 	higher, own := 0, 0
 	for _, l := range g.lines {
 		if l.needsPrimary != unit.NeedsPrimary {
@@ -195,7 +195,7 @@
 		}
 		switch {
 		case l.priority < unit.Priority:
-			higher += l.onTime()
+			higher += l.onTime() - g.excessWaiting(now, l)
 		case l.priority == unit.Priority:
 			own = g.aheadInLine(l, unit)
 		}
