--- a/pkg/state/dispatch/late.go
+++ b/pkg/state/dispatch/late.go
@@ -73,7 +73,8 @@
 		return true
 	}
 	expected := known.servedIn(now) * left.Seconds() / lateRateSpan.Seconds()
-	return float64(ahead) < expected+float64(len(g.upstreams))
+	// One unit more finds out when late units are served again.
+	return float64(ahead) < expected+1
 }
 
 // lateAhead returns the number of late units that run before the unit if it is
