--- a/pkg/transport/textfront/recorder.go
+++ b/pkg/transport/textfront/recorder.go
@@ -137,6 +137,10 @@
 		return
 	}
 	cause := ""
+	if u.isOverRate() {
+		r.failure(u, request, statement.FailOverloaded, "not_run", overRateReason)
+		return
+	}
 	if u.refusal != nil {
 		cause = u.refusal.Reason.String()
 	}
