--- a/pkg/state/dispatch/callers_test.go
+++ b/pkg/state/dispatch/callers_test.go
@@ -108,6 +108,34 @@
 		Expect(decisions[0].Placement).NotTo(BeNil())
 	})
 
+	// Guards against many waiting units of a caller that holds all the connections
+	// that it may: they must not keep units of others, queued later, from a free one.
+	It("leave the free ones to others, however many units of the caller wait", func() {
+		group := newCallerGroup()
+		for range 4 {
+			placement, _ := group.Submit(millis(10), writeOf("a"))
+			group.Sent(millis(10), placement)
+			group.Answered(millis(12), placement, "write", millis(2))
+		}
+		var others []*dispatch.Placement
+		for range 4 {
+			placement, _ := group.Submit(millis(12), writeOf(""))
+			others = append(others, placement)
+		}
+		for session := range 40 {
+			unit := writeOf("a")
+			unit.Session = uint64(session)
+			queue(group, millis(12), unit)
+		}
+		late := writeOf("b")
+		late.Weight = 4
+		waiting := queue(group, millis(13), late)
+		group.Release(millis(14), others[0])
+		decisions := group.DecideWaiting(millis(14))
+		Expect(decisions).To(HaveLen(1))
+		Expect(decisions[0].Unit).To(BeIdenticalTo(waiting))
+	})
+
 	It("are not bounded without a name, and at least one with a name", func() {
 		group := newCallerGroup()
 		for range 8 {
--- a/pkg/state/dispatch/place.go
+++ b/pkg/state/dispatch/place.go
@@ -16,11 +16,10 @@
 }
 
 func (g *Group) placeAtPrimary(now time.Duration, unit *Unit) *Placement {
-	primary := g.upstream(g.leadership.Primary)
-	if primary == nil || !g.leadership.acceptsWork(now) || !primary.hasRoomFor(now, unit.Caller) || !primary.isReachable(now) {
+	if !g.primaryHasRoomFor(now, unit.Caller) {
 		return nil
 	}
-	return g.reserve(now, unit, primary, model.Position{})
+	return g.reserve(now, unit, g.upstream(g.leadership.Primary), model.Position{})
 }
 
 // placeRead reserves a connection at the upstream with the least expected
@@ -30,6 +29,7 @@
 	position, reachedAt, proven := unit.requiredPosition(g.tracker, now)
 	latency := g.averageLatency(unit.Route)
 	g.updateAvoided(now)
+	avoidPrimary := g.hasFreshReplica(now, unit, position, reachedAt, proven) || g.isLagging(now, unit) && !g.primaryTakesLagging(now, unit.Caller)
 	var best *upstream
 	var bestCost time.Duration
 	for _, candidate := range g.upstreams {
@@ -37,7 +37,11 @@
 		if !usable {
 			continue
 		}
-		if candidate.spec.ID != g.leadership.Primary {
+		if candidate.spec.ID == g.leadership.Primary {
+			if avoidPrimary {
+				continue
+			}
+		} else {
 			ready := g.tracker.EstimatedWait(candidate.spec.ID, now, position, reachedAt)
 			if !proven || ready > maxCatchUp {
 				continue
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -65,7 +65,7 @@
 	if !s.config.Dispatch.Serves(route.Group) {
 		return nil, meshpb.UnitRefusal_UNIT_REFUSAL_NOT_SERVED
 	}
-	unit := &session{server: s, socket: conn, prepared: make(map[string]prepared), forwarded: route}
+	unit := &session{server: s, number: s.lastSession.Add(1), socket: conn, prepared: make(map[string]prepared), forwarded: route}
 	if refusal := unit.admitUnit(request); refusal != meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED {
 		return nil, refusal
 	}
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -40,6 +40,8 @@
 	// caller is the client account that the session's access key identifies; empty
 	// if the route needs no key.
 	caller model.CallerName
+	// number identifies the session on this instance.
+	number uint64
 	// unconfirmed is set if this instance may not run the statement in progress, as
 	// its configuration may be out of date, while other servers may.
 	unconfirmed bool
@@ -72,6 +74,7 @@
 func newSession(server *Server, socket net.Conn) *session {
 	return &session{
 		server:   server,
+		number:   server.lastSession.Add(1),
 		socket:   socket,
 		reader:   bufio.NewReaderSize(socket, callerBufferBytes),
 		input:    lines.NewInputProbe(socket),
