Hosted stand-ins: accounts with rates, and tests of rates by real processes

The stand-ins knew one account with keys and no rates. They now take several accounts with a rate and a burst and write the quota bounds into the settings. The databases record each statement that they run with the account of its connection and the time, and note a request whose ID names another account than the connection's START.

--- a/testbench/hosted/client.go
+++ b/testbench/hosted/client.go
@@ -36,17 +36,27 @@
 // IsPromise reports whether nothing of the operation is kept.
 func (r Reply) IsPromise() bool { return promises[r.Code] }
 
+// IsNotRun reports whether the answer says that nothing was run.
+func (r Reply) IsNotRun() bool { return r.IsPromise() || r.Code == "DENIED" }
+
 // answerTimeout is the patience of a client.
 const answerTimeout = 6 * time.Second
 
-// Dial opens a session at an instance.
+// Dial opens a session at an instance. Its name is its access key as well.
 func Dial(address, database, name string) (*Client, error) {
+	return DialKey(address, database, name, name)
+}
+
+// DialKey opens a session at an instance with an access key. Request IDs begin with
+// the name; for a name of the form "account/rest" the databases check that the
+// connection belongs to the account.
+func DialKey(address, database, key, name string) (*Client, error) {
 	socket, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
 	c := &Client{socket: socket, reader: bufio.NewReader(socket), name: name}
-	if _, err := fmt.Fprintf(socket, "START %s %s\r\n", database, name); err != nil {
+	if _, err := fmt.Fprintf(socket, "START %s %s\r\n", database, key); err != nil {
 		c.Close()
 		return nil, err
 	}
@@ -67,13 +77,17 @@
 
 // Do runs a statement.
 func (c *Client) Do(text string) (Reply, error) {
+	id := c.NextID()
 	c.nextID++
-	if _, err := fmt.Fprintf(c.socket, "QUERY %s-%d %s\r\n", c.name, c.nextID, text); err != nil {
+	if _, err := fmt.Fprintf(c.socket, "QUERY %s %s\r\n", id, text); err != nil {
 		return Reply{}, err
 	}
 	return c.receive()
 }
 
+// NextID returns the request ID of the next statement.
+func (c *Client) NextID() string { return fmt.Sprintf("%s-%d", c.name, c.nextID+1) }
+
 func (c *Client) receive() (Reply, error) {
 	_ = c.socket.SetReadDeadline(time.Now().Add(answerTimeout))
 	var reply Reply
--- a/testbench/hosted/conn.go
+++ b/testbench/hosted/conn.go
@@ -17,6 +17,10 @@
 	socket   net.Conn
 	reader   *bufio.Reader
 	prepared map[string]string
+	// account is the account that START named, and requestID the ID of the
+	// statement that is running.
+	account   string
+	requestID string
 	// inTransaction, failed and readOnly are the state of a transaction, and
 	// writes what it has written so far.
 	inTransaction bool
@@ -37,12 +41,14 @@
 	if err != nil {
 		return
 	}
+	c.database.group.noteStart(line)
 	fields := strings.Split(line, " ")
 	if fields[0] != "START" || len(fields) < 3 || fields[1] != c.database.group.Name ||
 		len(fields) > 3 && fields[3] != c.database.ID {
 		_, _ = c.socket.Write([]byte("ERROR WRONGNODE not here\r\n"))
 		return
 	}
+	c.account = fields[2]
 	c.send([]string{c.ready()})
 	for {
 		line, err := c.line()
@@ -53,7 +59,9 @@
 		if word != "QUERY" {
 			return
 		}
-		_, text, _ := strings.Cut(rest, " ")
+		id, text, _ := strings.Cut(rest, " ")
+		c.requestID = id
+		c.noteRequest()
 		answer := c.answer(text)
 		if c.loses() {
 			continue
@@ -142,7 +150,12 @@
 		word, _, _ = strings.Cut(shape, " ")
 		rest = values
 	}
-	return c.run(word, rest)
+	isOperation := !c.inTransaction
+	answer := c.run(word, rest)
+	if !strings.HasPrefix(answer[0], "ERROR ") {
+		c.noteRan(isOperation)
+	}
+	return answer
 }
 
 // run runs a statement. The group's mutex is held.
--- a/testbench/hosted/group.go
+++ b/testbench/hosted/group.go
@@ -49,6 +49,10 @@
 	// back, and of those committed beside the primary of a newer term.
 	rolledBack map[string]bool
 	deposed    map[string]bool
+	// ran holds what the databases ran, and starts the first lines of their
+	// connections.
+	ran    []Ran
+	starts map[string]bool
 }
 
 // GroupOptions describe a group.
@@ -67,7 +71,7 @@
 	g := &Group{
 		Name: options.Name, store: store, maxConnections: options.MaxConnections, slots: options.Slots,
 		promoteTime: options.PromoteTime, lag: options.Lag, stop: make(chan struct{}), term: 1,
-		rolledBack: map[string]bool{}, deposed: map[string]bool{},
+		rolledBack: map[string]bool{}, deposed: map[string]bool{}, starts: map[string]bool{},
 	}
 	g.cloud = httptest.NewServer(http.HandlerFunc(g.promote))
 	for i := range options.Databases {
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -30,11 +30,13 @@
 	// LinkMbps is the bandwidth that the settings state; zero leaves it out. With
 	// little of it only the first few instances become members.
 	LinkMbps float64
-	// Keys are the access keys of the client account at the start; nil for a
-	// configuration without accounts. RevocationTime is the time after which a
-	// removed key must have no effect.
+	// Accounts are the client accounts at the start, and Keys stands for a single
+	// one with these access keys; nil for a configuration without accounts.
+	// RevocationTime is the time after which a removed key must have no effect.
+	Accounts       []Account
 	Keys           []string
 	RevocationTime time.Duration
+	Rates          RateBounds
 }
 
 // DefaultOptions are those of a small site.
@@ -46,6 +48,7 @@
 			PromoteTime: 200 * time.Millisecond, Lag: 10 * time.Millisecond,
 		},
 		Grace: 4 * time.Second,
+		Rates: DefaultRateBounds,
 	}
 }
 
@@ -67,7 +70,8 @@
 	ports   ports
 	mu      sync.Mutex
 	version int
-	keys    []string
+	// accounts is nil for a configuration without accounts.
+	accounts []Account
 }
 
 // ports are the same on all instances, which have addresses of their own.
@@ -86,7 +90,10 @@
 
 // Start starts a system and waits until all its instances are ready.
 func Start(ctx context.Context, options Options) (*System, error) {
-	s := &System{options: options, version: 1, keys: options.Keys}
+	s := &System{options: options, version: 1, accounts: options.Accounts}
+	if options.Keys != nil {
+		s.accounts = append(s.accounts, keysAccount(options.Keys))
+	}
 	if err := s.start(ctx); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
@@ -131,7 +138,7 @@
 func (s *System) Configure(timeout time.Duration) {
 	s.mu.Lock()
 	s.version += 3
-	version, keys := s.version, s.keys
+	version, accounts := s.version, s.accounts
 	s.mu.Unlock()
 	route := func(database, kind string, priority int, age int64) map[string]any {
 		return map[string]any{
@@ -152,22 +159,13 @@
 		}},
 		"limits": map[string]any{"transaction_idle_ms": 3000},
 	}
-	if keys != nil {
-		fields["tenants"] = []any{map[string]any{"name": "acme", "api_keys": keys}}
+	if accounts != nil {
+		fields["tenants"] = tenants(accounts)
 	}
 	body, _ := json.Marshal(fields)
 	s.Store.Put("op", "config", body)
 }
 
-// SetKeys writes the next version of the configuration, with these access keys of
-// the client account. The store has acknowledged it when SetKeys returns.
-func (s *System) SetKeys(timeout time.Duration, keys ...string) {
-	s.mu.Lock()
-	s.keys = append([]string{}, keys...)
-	s.mu.Unlock()
-	s.Configure(timeout)
-}
-
 // freePorts finds ports that are free on the addresses of all instances.
 func freePorts(instances int) (ports, error) {
 	var found []int
@@ -224,13 +222,17 @@
 grace_period_s = %g
 strict_revocation = %t
 revocation_ms = %d
+quota_window_s = %g
+quota_overage = %g
+quota_slack = %g
 [platform]
 address = %q
 [cloud_api]
 address = %q
 `, i.name(), i.IP, i.Index%s.options.Group.Databases, regionName, s.ports.mesh, s.ports.mesh+10, instanceIP(0)+":1",
 		i.address(s.ports.callers), i.address(s.ports.ready), s.options.LinkMbps, s.options.Grace.Seconds(),
-		s.options.RevocationTime > 0, s.options.RevocationTime.Milliseconds(), i.ToStore.Address(), s.Group.Cloud())
+		s.options.RevocationTime > 0, s.options.RevocationTime.Milliseconds(),
+		s.options.Rates.Window.Seconds(), s.options.Rates.Overage, s.options.Rates.Slack, i.ToStore.Address(), s.Group.Cloud())
 }
 
 // Start starts the instance's process.
