Soak: client accounts with rates and changing keys

The soak drove hosted instances without accounts. Faults are kills, pauses and cuts from the store, of one instance or of all, up to 9 s long, and keys that are removed and added. Faults of databases and their links are left out: they hold statements back and run them at once, which no limit of an instance covers.

DENIED now counts as "not run" for the check that nothing of such a write is kept.

--- a/testbench/cmd/soak/main.go
+++ b/testbench/cmd/soak/main.go
@@ -20,6 +20,7 @@
 	Lasts     time.Duration `long:"lasts" default:"15s" description:"time in which faults begin"`
 	Instances int           `long:"instances" default:"5" description:"number of instances"`
 	Callers   int           `long:"callers" default:"24" description:"number of callers"`
+	Accounts  bool          `long:"accounts" description:"play client accounts with rates and changing keys"`
 	KeepLogs  string        `long:"keep-logs" description:"directory for the logs of runs with a broken promise"`
 }
 
@@ -46,6 +47,7 @@
 	played.Lasts = given.Lasts
 	played.Instances = given.Instances
 	played.Callers = given.Callers
+	played.Accounts = given.Accounts
 	if given.KeepLogs != "" {
 		played.KeepLogs = filepath.Join(given.KeepLogs, fmt.Sprintf("seed-%d", seed))
 	}
--- a/testbench/soak/ledger.go
+++ b/testbench/soak/ledger.go
@@ -82,7 +82,7 @@
 	case err != nil:
 	case reply.Code == "":
 		w.acknowledged = time.Now()
-	case reply.IsPromise():
+	case reply.IsNotRun():
 		w.promised = true
 	}
 }
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -21,6 +21,26 @@
 // hand use the bounds of soak.DefaultOptions.
 const patience = time.Minute
 
+var _ = DescribeTable("a seed with client accounts breaks no promise",
+	func(seed uint64, lasts time.Duration) {
+		options := soak.DefaultOptions(seed)
+		options.Accounts = true
+		options.Lasts = lasts
+		options.Callers = 16
+		options.Bounds = soak.Bounds{Recover: patience, LossSlack: patience, StopSlack: patience}
+		options.Log = GinkgoWriter
+		report, err := soak.Run(context.Background(), options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.Answers["ok"]).To(BeNumerically(">", 0))
+	},
+	// Keys are removed, and then the store is lost and processes are killed and paused.
+	Entry("a short run with removed keys", uint64(3), 8*time.Second),
+	// One instance and then all are cut from the store, for longer than a removed key
+	// may have an effect, while others are paused.
+	Entry("a short run with cuts", uint64(4), 8*time.Second),
+)
+
 var _ = DescribeTable("a seed breaks no promise",
 	func(seed uint64, lasts time.Duration) {
 		options := soak.DefaultOptions(seed)
