--- a/pkg/instance/hostedconfirmed_test.go
+++ b/pkg/instance/hostedconfirmed_test.go
@@ -11,8 +11,8 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// An instance that cannot tell whether keys are valid kept its callers, although
-// it could serve none of them.
+// Guards against an instance that cannot tell whether keys are valid and keeps its
+// callers, although it can serve none of them.
 var _ = DescribeTable("isConfirmationTooOld",
 	func(accounts, serves bool, confirmedAt, bound time.Duration, tooOld bool) {
 		snapshot := &region.Snapshot{
--- a/pkg/instance/rates_test.go
+++ b/pkg/instance/rates_test.go
@@ -83,10 +83,10 @@
 			Expect(asked("crane")).To(Equal(200))
 		},
 		Entry("of a folder", bundleWith),
-		Entry("of the users' platform", catalogWith),
+		Entry("of the hosted interface", catalogWith),
 	)
 
-	It("are not taken in before the first snapshot", func() {
+	It("are not known before the first snapshot", func() {
 		Expect(hostedRateInput(nil)).To(Equal(quota.Input{}))
 	})
 })
--- a/pkg/transport/textforward/balance_test.go
+++ b/pkg/transport/textforward/balance_test.go
@@ -45,7 +45,7 @@
 		Expect(telemetry.ServersAvoided.With().Get() - before).To(BeZero())
 	})
 
-	// A server that is only failing to connect is already last in Servers.
+	// Servers already puts servers that cannot be reached last.
 	It("leaves servers that have just failed last", func() {
 		f := newForwarder()
 		f.Avoid("a", "connection refused")
@@ -66,7 +66,7 @@
 		}
 	})
 
-	It("refuses and counts a load that cannot be", func() {
+	It("refuses and counts a load above its bounds", func() {
 		f := newForwarder()
 		before := telemetry.LoadsRefused.With("reply").Get()
 		for _, load := range []*meshpb.ServerLoad{{Running: 1 << 30}, {Waiting: 1 << 30}, {BusyPermille: 1 << 30}} {
--- a/pkg/transport/textfront/access_test.go
+++ b/pkg/transport/textfront/access_test.go
@@ -97,7 +97,7 @@
 		Entry("key with a blank", " me too", "DENIED the access key contains a blank or a control character"),
 		Entry("key with a control character", " m\x01e", "DENIED the access key contains a blank or a control character"),
 		Entry("long key", " "+strings.Repeat("k", 1<<18), "DENIED the access key is too long"),
-		// The connection was closed without an answer.
+		// Guards against a connection that is closed without an answer.
 		Entry("key of 1 MiB", " "+strings.Repeat("k", 1<<20), "TOOLARGE message too large"),
 		Entry("key of 3 MiB", " "+strings.Repeat("k", 3<<20), "TOOLARGE message too large"),
 	)
@@ -118,8 +118,8 @@
 const denied = "ERROR DENIED not run: the access key is not valid"
 
 var _ = Describe("an open session", func() {
-	// The key was checked at the start of a session only, so that a session with a
-	// removed key went on for hours.
+	// Guards against a check at the start of a session only, which lets an open
+	// session outlast the removal of its key.
 	DescribeTable("is denied each statement after its key was removed",
 		func(remove func(f *fixture)) {
 			u := startUpstream()
@@ -163,8 +163,8 @@
 		Entry("found at the rollback", "ROLLBACK", "READY I -"),
 	)
 
-	// A unit that had waited ran after its key had been removed. The wait is brought
-	// about by an upstream that is slow to set a session value.
+	// Guards against a unit that runs after its key was removed while it waited. It
+	// waits for an upstream that is slow to set a session value.
 	It("is denied a statement that waits while its key is removed", func() {
 		u := startUpstream()
 		release := make(chan struct{})
@@ -186,7 +186,7 @@
 		Expect(u.statements()).To(Equal([]string{"- SET mode x"}))
 	})
 
-	// An instance that is cut off does not hear of removed keys.
+	// Guards against an instance that is cut off and so does not learn of removed keys.
 	It("runs nothing while the confirmation of the configuration is too old", func() {
 		u := startUpstream()
 		f := newFixture(catalog.Route{}, u)
--- a/pkg/transport/textfront/accessforward_test.go
+++ b/pkg/transport/textfront/accessforward_test.go
@@ -137,8 +137,8 @@
 		Expect(refusal).To(Equal(meshpb.UnitRefusal_UNIT_REFUSAL_DENIED))
 	})
 
-	// A server whose confirmation is too old refused its own callers although
-	// others could serve them.
+	// Guards against a server with an old confirmation that refuses its own callers
+	// although other servers can run their units.
 	It("is forwarded by a server that cannot tell itself", func() {
 		s1.server.config.Forwarder = front.server.config.Forwarder
 		s1.server.config.Self = "s1"
@@ -176,7 +176,7 @@
 }
 
 var _ = Describe("the log and the metrics", func() {
-	// Whoever can read a log or metrics could use a key found there.
+	// Guards against keys that readers of the log or the metrics could use.
 	It("contain neither a key nor its digest, and name the reason of each refusal", func() {
 		const valid, removed, unknown = "valid-key-1f3a", "removed-key-77b2", "unknown-key-9c04"
 		logged := &lockedBuffer{}
--- a/testbench/hosted/rates_test.go
+++ b/testbench/hosted/rates_test.go
@@ -28,8 +28,8 @@
 		return startWith(options)
 	}
 
-	// Each instance admitted an account by its own count: through six instances it
-	// ran up to six times its rate, and the share of a lost one was spent twice.
+	// Guards against instances that each admit an account by their own count, so that
+	// it exceeds its rate, and against a lost instance's share that is used twice.
 	It("keep an account at five times its rate within its limit while instances fail", func() {
 		system := startAccounts(200, loud, calm, small)
 		load, ctx := startLoad(system)
@@ -75,8 +75,8 @@
 		Expect(system.Group.Violations()).To(BeEmpty())
 	})
 
-	// A changed limit took effect only on the instance that read it first, or added
-	// its burst once more at each change.
+	// Guards against a changed limit that only the instance which read it first
+	// applies, and against a burst that is granted again at each change.
 	It("follow a limit that is lowered and raised under load", func() {
 		const applied = 5 * time.Second
 		high, low := loud, loud
@@ -107,8 +107,8 @@
 		expectWithin(system, calm, time.Time{}, time.Time{})
 	})
 
-	// A connection was handed to the next caller in turn, whatever its account, and
-	// the first line that was passed on held the caller's key.
+	// Guards against a connection that serves several accounts, and against a first
+	// line to a database that contains the caller's key.
 	It("have connections of their own at the databases, and show them no key", func() {
 		unlimited := hosted.Account{Name: "free", Keys: []string{"key-e8a655"}}
 		accounts := []hosted.Account{calm, small, unlimited}
--- a/testbench/path/rate_test.go
+++ b/testbench/path/rate_test.go
@@ -86,7 +86,7 @@
 			_, err := untouched.Exec(ctx, read, "box")
 			Expect(err).NotTo(HaveOccurred())
 		}
-		// The rule of page 18, for the whole windows that the spans touch.
+		// The limit with its tolerance, for the whole windows that the spans touch.
 		windows := float64(time.Since(began)/(5*time.Second) + 1)
 		AddReportEntry("admitted, refused", fmt.Sprintf("%d, %d", admitted, refused))
 		Expect(admitted).To(BeNumerically(">", 0))
