--- a/pkg/instance/hostedconfirmed.go
+++ b/pkg/instance/hostedconfirmed.go
@@ -12,9 +12,9 @@
 )
 
 // confirmationLimit returns the age of the confirmation up to which an instance
-// counts as in touch. An instance that only forwards does not decide by the age,
-// and hears of the confirmation through a member, so that its age is usually
-// higher: 3.6 s at most while nothing fails.
+// can be ready. One that only forwards gets the full bound: it does not decide
+// on keys by the age, and it learns of the confirmation through a member, which
+// makes the age higher (3.6 s at most while nothing fails).
 func confirmationLimit(snapshot *region.Snapshot, bound time.Duration) time.Duration {
 	for _, served := range snapshot.Serving {
 		if served.Local {
--- a/pkg/instance/hostedload.go
+++ b/pkg/instance/hostedload.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// useLoadReport uses the report of another server, or refuses it.
+// useLoadReport applies the load report of another server. An invalid report is
+// counted and logged, and has no effect.
 func (p hostedPeer) useLoadReport(from model.InstanceID, report *meshpb.LoadReport) {
 	err := p.dispatch.LoadReported(from, meshlink.DecodeLoadReport(report))
 	if err == nil {
--- a/pkg/instance/hostedpeer.go
+++ b/pkg/instance/hostedpeer.go
@@ -23,7 +23,7 @@
 	dispatch *dispatcher.Dispatcher
 	rates    *quota.Service
 	logger   *slog.Logger
-	// loadRefused logs reports of load that cannot be.
+	// loadRefused limits the log lines about load reports that were refused.
 	loadRefused *events.Throttle
 }
 
--- a/pkg/instance/hostedrates.go
+++ b/pkg/instance/hostedrates.go
@@ -22,7 +22,7 @@
 	})
 }
 
-// hostedRateInput returns the part of the state that the limits of rates follow.
+// hostedRateInput returns the part of the state that determines the rate limits.
 // snapshot may be nil.
 func hostedRateInput(snapshot *region.Snapshot) quota.Input {
 	if snapshot == nil {
--- a/pkg/instance/processoruse.go
+++ b/pkg/instance/processoruse.go
@@ -8,10 +8,11 @@
 
 const (
 	// processorSampleInterval is the minimum time between two readings of the
-	// process's processor time. The share of a container is accounted for in
-	// periods of 100 ms too.
+	// process's processor time. A container's processor share is enforced in
+	// periods of the same length.
 	processorSampleInterval = 100 * time.Millisecond
-	permille                = 1000
+	// permille is the number of thousandths in a whole.
+	permille = 1000
 )
 
 // processorUse samples how much of its processor share the process uses. It is
@@ -54,7 +55,7 @@
 		return 0
 	}
 	if p.sampled {
-		// An idle process is told from an unknown use by its one thousandth.
+		// The result is at least 1, as 0 means that the use is unknown.
 		p.busy = max(1, uint32(permille*float64(max(0, used-p.lastUsed))/(float64(elapsed)*p.cores)))
 	}
 	p.sampledAt, p.lastUsed, p.sampled = now, used, true
--- a/pkg/instance/rates.go
+++ b/pkg/instance/rates.go
@@ -12,8 +12,9 @@
 )
 
 // rateTolerance is how far the operations of a caller over all instances may exceed
-// its rate. The users' platform asks for the same on the hosted interface; the
-// settings of this interface have no keys for it.
+// its rate: in each window of 5 s by a tenth of the limit and by 20 operations. On
+// the hosted interface the settings give these values; the settings of this
+// interface have no keys for them.
 var rateTolerance = state.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // newRates returns the service that limits the rates of callers.
@@ -28,7 +29,7 @@
 	})
 }
 
-// rateInput returns the part of the state that the limits of rates follow.
+// rateInput returns the part of the state that determines the rate limits.
 func rateInput(snapshot *control.Snapshot) quota.Input {
 	return quota.Input{
 		View:          &snapshot.View,
--- a/pkg/protocol/meshlink/load.go
+++ b/pkg/protocol/meshlink/load.go
@@ -20,7 +20,7 @@
 	return &meshpb.Envelope{Body: &meshpb.Envelope_LoadReport{LoadReport: report}}
 }
 
-// DecodeLoadReport returns the counts of a report. They are not checked.
+// DecodeLoadReport returns the counts of a report without validating them.
 func DecodeLoadReport(report *meshpb.LoadReport) []loadshare.Count {
 	counts := make([]loadshare.Count, 0, len(report.GetUpstreams()))
 	for _, load := range report.GetUpstreams() {
--- a/pkg/protocol/statement/statement.go
+++ b/pkg/protocol/statement/statement.go
@@ -57,8 +57,8 @@
 	// Key is the digest of the access key with which the caller identifies its
 	// account.
 	Key model.KeyDigest
-	// KeyFault says why the access key cannot be one, as a text for the caller;
-	// empty if it can.
+	// KeyFault says, as a text for the caller, why what was sent cannot be an
+	// access key; empty if it can. It does not contain what was sent.
 	KeyFault string
 }
 
--- a/pkg/transport/admin/callers.go
+++ b/pkg/transport/admin/callers.go
@@ -17,7 +17,8 @@
 // CallerStatus is a caller's rate limit, and its use on this instance.
 type CallerStatus struct {
 	Name model.CallerName `json:"name"`
-	// Rate and Burst are as configured. A Rate of zero sets no limit.
+	// Rate, in operations per second, and Burst, in operations, are as configured.
+	// A Rate of zero sets no limit.
 	Rate     float64 `json:"rate"`
 	Burst    float64 `json:"burst"`
 	Priority int     `json:"priority"`
@@ -39,6 +40,7 @@
 }
 
 // CallerUsage is the use of a rate limit on one instance; see model.CallerUsage.
+// UsedPerSecond and Limit are in operations per second.
 type CallerUsage struct {
 	UsedPerSecond float64 `json:"used_per_s"`
 	Refused       uint64  `json:"refused"`
--- a/pkg/transport/meshpeer/inbound.go
+++ b/pkg/transport/meshpeer/inbound.go
@@ -22,8 +22,9 @@
 	Rates    Rates
 }
 
-// Rates takes in what peers report of the use of callers with a rate limit.
+// Rates handles the reports of peers on the use of callers with a rate limit.
 type Rates interface {
+	// Receive handles one report of a peer.
 	Receive(from model.InstanceID, report quota.Report)
 }
 
--- a/testbench/hosted/accounts.go
+++ b/testbench/hosted/accounts.go
@@ -17,14 +17,15 @@
 }
 
 // RateBounds are the settings that say how far the sum over all instances may
-// exceed a limit.
+// exceed a limit: in each Window by the fraction Overage of the limit, and by Slack
+// operations more.
 type RateBounds struct {
 	Window  time.Duration
 	Overage float64
 	Slack   float64
 }
 
-// DefaultRateBounds are those of the deployments.
+// DefaultRateBounds are the bounds in the settings of the deployments.
 var DefaultRateBounds = RateBounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // Most returns the number of operations of an account that may run in any window.
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -32,7 +32,8 @@
 	LinkMbps float64
 	// Accounts are the client accounts at the start, and Keys stands for a single
 	// one with these access keys; nil for a configuration without accounts.
-	// RevocationTime is the time after which a removed key must have no effect.
+	// RevocationTime is the time after which a removed key must have no effect; zero
+	// if the settings do not require that.
 	Accounts       []Account
 	Keys           []string
 	RevocationTime time.Duration
