--- a/pkg/transport/textback/idle.go
+++ b/pkg/transport/textback/idle.go
@@ -22,7 +22,7 @@
 	maxOpen int
 	// callers holds the rates at which the callers use the upstream.
 	callers *reuse.Tracker
-	// uses is reused by leastReused.
+	// uses is the buffer of leastReused.
 	uses []*reuse.Use
 }
 
@@ -45,7 +45,7 @@
 	pl.callers.Caller(0, caller).Release()
 }
 
-// own makes a new connection, which is counted, one of the pool.
+// own assigns a new connection, which count has counted already, to the pool.
 func (pl *pool) own(now time.Duration, conn *Conn) {
 	conn.pool = pl
 	conn.use = pl.callers.Caller(now, conn.caller)
@@ -62,7 +62,7 @@
 	return nil
 }
 
-// removeIdle takes the idle connection with an index.
+// removeIdle takes the idle connection at an index of idle.
 func (pl *pool) removeIdle(index int) *Conn {
 	taken := pl.idle[index]
 	copy(pl.idle[index:], pl.idle[index+1:])
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -35,6 +35,7 @@
 	selfName string
 	dialer   *net.Dialer
 
+	// startedAt is the origin of the clock of the callers' rates.
 	startedAt time.Time
 
 	mu    sync.Mutex
--- a/pkg/transport/textforward/balance.go
+++ b/pkg/transport/textforward/balance.go
@@ -17,15 +17,18 @@
 	"gypsumdock/pkg/telemetry"
 )
 
-// maxReportedUnits bounds the counts of a reported load; a server cannot have
-// more. maxBusyPermille bounds its use of the processor share, which a machine
-// may exceed for a while. maxServers is the number of servers of a group that
-// are weighed against each other.
 const (
+	// maxReportedUnits bounds the counts of units in a reported load; a server
+	// cannot have more.
 	maxReportedUnits = 1 << 20
-	maxBusyPermille  = 100_000
-	maxServers       = 16
-	permille         = 1000
+	// maxBusyPermille bounds the reported use of the processor share, in
+	// thousandths. It is above 1000 as a machine may exceed its share for a while.
+	maxBusyPermille = 100_000
+	// maxServers is the number of servers of a group that are compared with each
+	// other.
+	maxServers = 16
+	// permille is the number of thousandths in a whole.
+	permille = 1000
 	// refusedLoadInterval is the minimum time between two log lines about refused
 	// loads.
 	refusedLoadInterval = time.Second
@@ -195,7 +198,7 @@
 	}
 	if load.GetRunning() > maxReportedUnits || load.GetWaiting() > maxReportedUnits || load.GetBusyPermille() > maxBusyPermille {
 		telemetry.LoadsRefused.With("reply").Inc()
-		b.refused.Log(context.Background(), b.logger, slog.String("from", string(id)), slog.String("reason", "a count that cannot be"))
+		b.refused.Log(context.Background(), b.logger, slog.String("from", string(id)), slog.String("reason", "a count exceeds its bound"))
 		return
 	}
 	b.balance.Reported(now, id, balance.Load{
--- a/pkg/transport/textforward/homes.go
+++ b/pkg/transport/textforward/homes.go
@@ -6,8 +6,8 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// maxCachedOrders bounds the orders that are kept. Beyond it all are dropped, and
-// computed again when they are needed.
+// maxCachedOrders bounds the number of cached orders. When it is reached all are
+// dropped, and computed again when they are needed.
 const maxCachedOrders = 4096
 
 // CallerOrder returns the servers of a group in the order in which they are used
@@ -35,8 +35,8 @@
 	f.homes.Store(&homes{self: self, order: order, cached: make(map[homeKey][]model.InstanceID)})
 }
 
-// Home returns the home of a caller if it has one, which is another instance that
-// has not failed recently.
+// Home returns the home server of a caller in a group. It returns false if the
+// caller has none, or if that is this instance or has failed recently.
 func (f *Forwarder) Home(group model.GroupID, caller model.CallerName) (model.InstanceID, bool) {
 	ordered := f.homeOrder(group, caller)
 	if len(ordered) == 0 || ordered[0] == f.homes.Load().self || f.isAvoided(ordered[0]) {
--- a/pkg/transport/textfront/access.go
+++ b/pkg/transport/textfront/access.go
@@ -13,8 +13,8 @@
 	"gypsumdock/pkg/telemetry"
 )
 
-// unconfirmedRetryAfter is when a caller may come back after no server could tell
-// that its key is valid. By then the members have asked the reader again.
+// unconfirmedRetryAfter is the retry time given to a caller when no server could
+// tell whether its key is valid. By then the members have asked the reader again.
 const unconfirmedRetryAfter = time.Second
 
 // deniedFailure is the answer to a caller whose key is not valid. It does not say
@@ -186,10 +186,10 @@
 	return statement.FailOverloaded
 }
 
-// isDecided reports whether further attempts are of no use by the access key: it
-// is not valid, or neither the servers nor this instance hear of the newest
-// configuration.
-func (f *forwarding) isDecided() bool {
+// isRefusalFinal reports whether the access check makes further attempts useless:
+// the key is not valid, or neither the servers nor this instance can confirm that
+// their configuration is the newest.
+func (f *forwarding) isRefusalFinal() bool {
 	bound := f.session.server.config.RevocationTime
 	if f.denied || !f.unconfirmed || bound == 0 {
 		return f.denied
--- a/pkg/transport/textfront/fault.go
+++ b/pkg/transport/textfront/fault.go
@@ -5,7 +5,8 @@
 	"gypsumdock/pkg/state/dispatch"
 )
 
-// fault returns how an upstream failed a statement that should not fail.
+// fault returns the fault of the upstream that an answer with this reason shows,
+// or FaultNone if the answer shows none.
 func fault(reason statement.Reason) dispatch.Fault {
 	switch reason {
 	case statement.StatementFailed:
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -122,7 +122,7 @@
 	waitUntil := time.Now().Add(serverWait)
 	for {
 		stream, reply, sent := f.beginOnce(stmt, open, mayRepeat)
-		if sent || f.isDecided() || f.isPastDeadline() || f.servesItself() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
+		if sent || f.isRefusalFinal() || f.isPastDeadline() || f.servesItself() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
 			return stream, reply, sent
 		}
 		sleep(f.session.server.ctx, serverRetryInterval)
--- a/pkg/transport/textfront/rate.go
+++ b/pkg/transport/textfront/rate.go
@@ -10,8 +10,8 @@
 // Rates limits the units of work of callers. A caller without a name has no
 // limit.
 type Rates interface {
-	// Admit decides on one unit of work. If it may not run, retryAfter is when the
-	// caller may come back.
+	// Admit decides on one unit of work. If it may not run, retryAfter is the time
+	// that the caller should wait before it tries again.
 	Admit(caller model.CallerName) (admitted bool, retryAfter time.Duration)
 	// Refund takes back a unit that was admitted and certainly did not run.
 	Refund(caller model.CallerName)
@@ -21,12 +21,12 @@
 // and the log.
 const overRateReason = "over the rate limit"
 
-// rateState is what a unit of work knows of the rate limit of its caller.
+// rateState is the state of a unit of work with regard to its caller's rate limit.
 type rateState struct {
 	// counted is set once the unit was admitted.
 	counted bool
-	// retryAfter is when the caller may come back; zero unless the unit was
-	// refused.
+	// retryAfter is the time that the caller should wait before it tries again;
+	// zero unless the unit was refused.
 	retryAfter time.Duration
 	// sent is set once anything of the unit was sent to an upstream.
 	sent bool
--- a/pkg/transport/textfront/waits.go
+++ b/pkg/transport/textfront/waits.go
@@ -10,8 +10,8 @@
 	"gypsumdock/pkg/telemetry"
 )
 
-// callerWeight returns the share of a caller in the queue of a group: four times
-// that of others with priority 0, and twice with priority 1.
+// callerWeight returns the relative share of a caller in the queue of a group: 4
+// with priority 0 or less, 2 with priority 1, and 1 otherwise.
 func callerWeight(configuration *catalog.Catalog, name model.CallerName) int {
 	caller, found := configuration.CallerNamed(name)
 	switch {
