--- a/pkg/coordination/dispatcher/loads.go
+++ b/pkg/coordination/dispatcher/loads.go
@@ -12,18 +12,18 @@
 	"gypsumdock/pkg/telemetry"
 )
 
-// loads runs package loadshare. mu may be locked while the mutex of a group is
-// held, but not the other way round.
+// loads guards the loadshare.Share of this instance. mu may be locked while the
+// mutex of a group is held, but not the other way round.
 type loads struct {
 	mu    sync.Mutex
 	share *loadshare.Share
 	// groups holds the group of each shared upstream.
 	groups map[model.UpstreamID]model.GroupID
-	// limits holds the limits as written to the metric.
+	// limits holds the last values of the metric telemetry.UpstreamLimit.
 	limits map[model.UpstreamID]int
 }
 
-// LoadReport is what another server should be told.
+// LoadReport holds the counts to send to another server.
 type LoadReport struct {
 	To     model.InstanceID
 	Counts []loadshare.Count
--- a/pkg/coordination/engine/rate.go
+++ b/pkg/coordination/engine/rate.go
@@ -11,8 +11,8 @@
 // Rates limits the units of work of callers over all instances. Package quota
 // implements it.
 type Rates interface {
-	// Admit decides on one unit of work. If it may not run, retryAfter is when the
-	// caller may come back.
+	// Admit decides on one unit of work. If it may not run, retryAfter is the time
+	// from now after which the caller may retry.
 	Admit(caller model.CallerName) (admitted bool, retryAfter time.Duration)
 	// Refund takes back a unit that was admitted and certainly did not run.
 	Refund(caller model.CallerName)
--- a/pkg/coordination/quota/service.go
+++ b/pkg/coordination/quota/service.go
@@ -30,13 +30,14 @@
 
 // Peers sends reports to other members. meshpeer.Peers implements it.
 type Peers interface {
+	// SendUsage sends a report to a member. A report that cannot be sent is dropped.
 	SendUsage(to model.InstanceID, report quota.Report)
 }
 
 // Clock gives the time since the process's start, from a monotonic clock.
 type Clock interface{ Now() time.Duration }
 
-// Input is the state of an instance that a Service works by.
+// Input is the part of an instance's state that a Service uses.
 type Input struct {
 	// View holds the members. Two views at the same address are the same; nil if
 	// the state is not known yet.
@@ -106,7 +107,7 @@
 }
 
 // Admit decides on one unit of work of a caller. If it may not run, retryAfter is
-// when the caller may come back.
+// the time from now after which the caller may retry.
 func (s *Service) Admit(caller model.CallerName) (admitted bool, retryAfter time.Duration) {
 	if caller == "" || !s.limited.Load() {
 		return true, 0
@@ -126,7 +127,7 @@
 	s.machine.Refund(s.config.Clock.Now(), caller)
 }
 
-// Receive takes in the report of a peer.
+// Receive processes the report of a peer, and counts and logs invalid entries.
 func (s *Service) Receive(from model.InstanceID, report quota.Report) {
 	if !s.limited.Load() {
 		return
@@ -140,7 +141,8 @@
 	}
 }
 
-// Tick takes in the limits and the members, and sends the reports that are due.
+// Tick updates the limits and the members from Config.Input, and sends the reports
+// that are due.
 func (s *Service) Tick() {
 	reports := s.step()
 	for _, out := range reports {
@@ -167,7 +169,8 @@
 	return reports
 }
 
-// adopt takes in a new state of the instance.
+// adopt updates the limits and the members if the state of the instance has
+// changed.
 func (s *Service) adopt(now time.Duration) {
 	input := s.config.Input()
 	if input.View == nil || input.View == s.view {
@@ -178,8 +181,8 @@
 		s.configuration = input.Configuration
 		s.machine.SetLimits(now, limitsOf(input.Callers()))
 		s.limited.Store(s.machine.Limited())
-		// Without limits nothing is measured any more, so that the metrics of the
-		// last callers must be removed here.
+		// Without limits step does not call measure, so that the metrics of the last
+		// callers are removed here.
 		s.measure(now)
 	}
 	s.machine.SetMembers(now, membersOf(input.View), input.View.HeadConfirmedAt)
--- a/pkg/coordination/quota/usage.go
+++ b/pkg/coordination/quota/usage.go
@@ -23,8 +23,8 @@
 		return recentUse{known: true, used: used}
 	}
 	if interval < measureInterval/2 {
-		// A change of the limits can measure at any time; a rate over a few
-		// milliseconds would be far off.
+		// A change of the limits causes a measurement at any time, and a rate over
+		// a few milliseconds is inaccurate.
 		return recentUse{known: true, used: r.used, perSecond: r.perSecond}
 	}
 	grown := used - min(used, r.used)
--- a/pkg/coordination/region/confirm.go
+++ b/pkg/coordination/region/confirm.go
@@ -12,16 +12,16 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// ErrOtherRow means that a row of the table with the configuration is another
-// row than that of the configuration.
+// ErrOtherRow means that a row of the configuration table does not hold the
+// configuration.
 var ErrOtherRow = errors.New("not the row of the configuration")
 
 // errUnreadableRow means that a row cannot be read, so that it may be that of the
 // configuration.
-var errUnreadableRow = errors.New("the row cannot be read")
+var errUnreadableRow = errors.New("unreadable row")
 
 // maxConfirmationAge is the largest age of a confirmation that is accepted from
-// a peer. It is far above any useful one.
+// a peer. Larger ones are taken as invalid.
 const maxConfirmationAge = time.Hour
 
 // showRow passes a row of the configuration table to the confirmation. offered is
--- a/pkg/state/access/access.go
+++ b/pkg/state/access/access.go
@@ -109,8 +109,7 @@
 }
 
 // UsableAge returns the age of a confirmation up to which units may run. The
-// remaining fifth of the bound covers an answer of the store that was still on
-// its way.
+// remaining fifth of the bound covers the transmission of the store's answer.
 func UsableAge(bound time.Duration) time.Duration { return bound / 5 * 4 }
 
 func needsKey(request Request) bool {
--- a/pkg/state/balance/balance.go
+++ b/pkg/state/balance/balance.go
@@ -25,8 +25,7 @@
 	// maxRoutes bounds the number of routes that are remembered.
 	maxRoutes = 256
 	// halfLife is the time in which an answer or a reported load loses half of its
-	// weight. An instance of the deployments forwards a few units a second to each
-	// server.
+	// weight. It spans several answers at a few units a second for each server.
 	halfLife = time.Second
 	// priorWeight is the weight, in answers, of the assumption that a server is as
 	// fast as the average.
@@ -34,8 +33,8 @@
 	// maxSlowness bounds the slowness that one answer contributes.
 	maxSlowness = 20
 	// loadPerOutstanding is the expected delay by each unit that this instance has
-	// outstanding at a server, as a part of an answer's time. A server runs about
-	// four units of a group at once.
+	// outstanding at a server, as a part of an answer's time. A server is assumed
+	// to run four units of a group at once.
 	loadPerOutstanding = 0.25
 	// busyFrom is the use of the processor share from which answers are delayed,
 	// and busyFactor the slowness at full use.
@@ -46,7 +45,8 @@
 	avoidFactor    = 3
 	minAvoidExcess = 20 * time.Millisecond
 	// keepFactor is the ratio of the expected times from which a unit of a caller
-	// with a home goes elsewhere. Opening a connection costs about an answer.
+	// with a home goes elsewhere. Opening a connection there takes about as long as
+	// an answer.
 	keepFactor = 2
 	// remoteDelay is the expected additional time of a server in another data
 	// centre: a round trip for the request and one for the opening of the stream.
@@ -78,7 +78,8 @@
 	Busy float64
 }
 
-// Balance holds what is known of the servers.
+// Balance holds the observed answer times and loads of the servers, and the
+// average answer times of the routes.
 type Balance struct {
 	servers    map[model.InstanceID]*server
 	references map[string]time.Duration
@@ -285,8 +286,9 @@
 	return time.Duration((s.slowness(now) + s.delay(now)) * float64(reference))
 }
 
-// ageWeight returns the weight of a figure of the given age. Exp2 would take
-// half of the time of a choice.
+// ageWeight returns the weight of a value of the given age: 1 for a new one, 1/2
+// at halfLife. It is a rational function, because it is called often and
+// math.Exp2 is slower.
 func ageWeight(age time.Duration) float64 {
 	return float64(halfLife) / float64(halfLife+max(age, 0))
 }
--- a/pkg/state/catalog/catalog.go
+++ b/pkg/state/catalog/catalog.go
@@ -117,7 +117,8 @@
 	return &authenticated
 }
 
-// UnmarshalJSON decodes a catalog that another instance has sent.
+// UnmarshalJSON decodes a catalog that another instance has sent, and indexes its
+// keys.
 func (c *Catalog) UnmarshalJSON(data []byte) error {
 	type plain Catalog
 	if err := json.Unmarshal(data, (*plain)(c)); err != nil {
--- a/pkg/state/dispatch/decide.go
+++ b/pkg/state/dispatch/decide.go
@@ -163,6 +163,7 @@
 	return best, bestRank
 }
 
+// rankOf returns the rank of a unit of the line.
 func (p *placementPass) rankOf(l *line, unit *Unit) rank {
 	switch {
 	case l.owed > 0 && l.owed >= p.group.averageLatency(unit.Route):
--- a/pkg/state/dispatch/faults.go
+++ b/pkg/state/dispatch/faults.go
@@ -25,10 +25,10 @@
 	priorFaults     = 1
 	priorStatements = 4
 	// minDeviations is the number of standard deviations by which the ratios must
-	// differ. With 2 and 2.5, upstreams that all fail 30% were avoided at times.
+	// differ. With fewer, upstreams that fail equally would be avoided by chance.
 	minDeviations = 3
 	// trialCost is the cost of an upstream that is due for a trial. It is below
-	// all others.
+	// the cost of any other upstream, so that the trial is chosen.
 	trialCost = -time.Hour
 )
 
@@ -140,7 +140,8 @@
 	return u.othersKnown && u.active+u.othersOutstanding < u.spec.Slots
 }
 
-// updateAvoided avoids the upstreams that fail clearly more than the best other.
+// updateAvoided begins to avoid the upstreams that fail clearly more statements
+// than the least failing other upstream.
 func (g *Group) updateAvoided(now time.Duration) {
 	for _, candidate := range g.upstreams {
 		candidate.faults.decay(now)
@@ -174,8 +175,8 @@
 	return best
 }
 
-// failsMoreThan reports whether the ratio is clearly above that of another
-// upstream, and not by chance.
+// failsMoreThan reports whether the ratio is at least faultFactor times that of
+// another upstream, and the difference exceeds minDeviations standard deviations.
 func (f *faults) failsMoreThan(other *faults) bool {
 	if f.ratio() < faultFactor*other.cautiousRatio() {
 		return false
@@ -220,7 +221,8 @@
 	return false
 }
 
-// TakeAvoidances returns the changes since its last call.
+// TakeAvoidances returns the upstreams that have begun or ceased to be avoided
+// since its last call, in the order of the changes.
 func (g *Group) TakeAvoidances() []Avoidance {
 	taken := g.avoidances
 	g.avoidances = nil
--- a/pkg/state/dispatch/late.go
+++ b/pkg/state/dispatch/late.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// lateOptimism is the time since no unit that could be on time was waiting after
-	// which the number of late units is bounded by the rate at which they have been
-	// served. The overload lasts by then, and most late units would wait in vain.
+	// lateOptimism is the time for which units that can be on time must have been
+	// waiting before the number of late units is bounded by the rate at which they
+	// have been served. After it the overload is taken as lasting, and most late
+	// units would be refused after their wait.
 	lateOptimism = 500 * time.Millisecond
 	// lateRateSpan is the time constant of that rate.
 	lateRateSpan = time.Second
@@ -73,7 +74,7 @@
 		return true
 	}
 	expected := known.servedIn(now) * left.Seconds() / lateRateSpan.Seconds()
-	// One unit more finds out when late units are served again.
+	// One more unit is accepted, so that it shows when late units are served again.
 	return float64(ahead) < expected+1
 }
 
--- a/pkg/state/dispatch/usage.go
+++ b/pkg/state/dispatch/usage.go
@@ -51,10 +51,12 @@
 	weight int
 }
 
+// decay returns the rest of a decaying value after the elapsed time.
 func decay(value float64, elapsed time.Duration) float64 {
 	return value * math.Exp(-float64(elapsed)/float64(usageSpan))
 }
 
+// usageLevel returns the index of a priority in callerUsage.levels.
 func usageLevel(priority int) int { return min(max(priority, 0), usageLevels-1) }
 
 // charge records the slot time of a unit of a caller.
@@ -111,8 +113,8 @@
 }
 
 // isExcessive reports whether a caller uses more than its share with the units
-// of the priority and higher ones. Nobody does while half of the capacity is
-// unused, as a few units are no measure then.
+// of the priority and higher ones. The slot time in use counts as at least half
+// of the capacity, so that a few units at low load make no caller excessive.
 func (u *usage) isExcessive(now time.Duration, capacity int, caller model.CallerName, priority int) bool {
 	known := u.callers[caller]
 	if known == nil || len(u.callers) < 2 {
--- a/pkg/state/dispatch/waiting.go
+++ b/pkg/state/dispatch/waiting.go
@@ -151,8 +151,8 @@
 	return h.units[0]
 }
 
-// compareUnits orders the units of a session by deadline, and units without a
-// caller among themselves.
+// compareUnits orders the units of a session by deadline. All units without a
+// caller belong to one session.
 func compareUnits(a, b *waitingUnit) int { return cmp.Compare(a.unit.Deadline, b.unit.Deadline) }
 
 // line returns the queue of the unit's priority and kind, which it creates if
--- a/pkg/state/loadshare/loadshare.go
+++ b/pkg/state/loadshare/loadshare.go
@@ -29,8 +29,8 @@
 	// using an equal part, and without a new report from which its counts other
 	// than zero do not hold.
 	silenceTimeout = time.Second
-	// slotFactor is the number of statements outstanding for each slot, so that a
-	// slot does not idle for the way of the next statement.
+	// slotFactor is the number of statements outstanding for each slot. More than
+	// one keeps a slot busy during the network delay of the next statement.
 	slotFactor = 2
 )
 
@@ -38,7 +38,7 @@
 var (
 	ErrUnknownUpstream  = errors.New("unknown upstream")
 	ErrNotServer        = errors.New("the sender does not serve the group")
-	ErrImpossibleCount  = errors.New("a count that cannot be")
+	ErrImpossibleCount  = errors.New("impossible count")
 	ErrRepeatedUpstream = errors.New("an upstream is listed twice")
 )
 
@@ -133,7 +133,7 @@
 	}
 }
 
-// Heard records that any message of another instance has arrived.
+// Heard records that a message of any kind has arrived from another instance.
 func (s *Share) Heard(now time.Duration, from model.InstanceID) {
 	if sender := s.others[from]; sender != nil {
 		sender.heard, sender.heardAt = true, now
@@ -180,9 +180,8 @@
 
 // Limit returns the limit for an upstream, or false for an unknown one. It is
 // twice the slots less what the others have, and at least an equal part of twice
-// the slots. With a lower minimum of one, slots idled under waves of load, as
-// reports are up to ReportInterval old: at 94% use 65% of the units were late
-// instead of 6%.
+// the slots. The minimum prevents that slots idle under a changing load, as the
+// counts of the others are up to ReportInterval old.
 func (s *Share) Limit(now time.Duration, id model.UpstreamID) (Limit, bool) {
 	u := s.upstreams[id]
 	if u == nil {
@@ -260,7 +259,8 @@
 	return due
 }
 
-// NotSent records that a report could not be sent, so that all of it is due.
+// NotSent records that a report could not be sent. The next call of Due for the
+// server then returns all counts.
 func (s *Share) NotSent(to model.InstanceID) {
 	for _, u := range s.upstreams {
 		delete(u.sent, to)
--- a/pkg/state/quota/bucket.go
+++ b/pkg/state/quota/bucket.go
@@ -29,7 +29,7 @@
 	// alone is what this member may spend without a group, as of aloneAt.
 	alone   float64
 	aloneAt time.Duration
-	// aloneFor is the number of the change of group for which alone was set.
+	// aloneFor is the group.number for which alone was set.
 	aloneFor uint64
 
 	// used counts the operations of this member. asked counts those and the
@@ -54,7 +54,7 @@
 	changedAt uint64
 	lastUse   time.Duration
 	reported  time.Duration
-	// retryAt is the last time to come back that was given.
+	// retryAt is the latest time at which a refused operation was told to retry.
 	retryAt time.Duration
 }
 
@@ -215,15 +215,14 @@
 	return max(0, min(c.tokens, m.share(c)*(c.tokens+unacked)+c.extra(m)-unacked))
 }
 
-// extra returns by how much each member may exceed its share, as the tolerance
-// covers all members doing so at once. A member may take at least one token that way
-// if the tolerance has room for one of each.
+// extra returns the number of operations by which each member may exceed its
+// share. The tolerance covers all members doing so at once.
 func (c *caller) extra(m *Machine) float64 {
 	return singlePart * m.config.Tolerance.operations(c.rate, c.burst) / max(1, m.size()-1)
 }
 
 // Admit decides on one operation of a caller. If it may not run, retryAfter is
-// when the caller may come back.
+// the time from now after which the caller may retry.
 func (m *Machine) Admit(now time.Duration, name model.CallerName) (admitted bool, retryAfter time.Duration) {
 	c := m.callers[name]
 	if c == nil {
@@ -254,8 +253,9 @@
 	return true, 0
 }
 
-// retryAfter returns when the rate has paid for the retries that were announced
-// before, and for one more.
+// retryAfter returns the time from now after which one more operation may be
+// retried, at least a millisecond. Retries of a caller are spaced by its rate, so
+// that refused operations are not all retried at once.
 func (m *Machine) retryAfter(c *caller, tokens, share float64) time.Duration {
 	c.refused++
 	rate := c.rate * max(share, 1/m.size())
--- a/pkg/state/quota/config.go
+++ b/pkg/state/quota/config.go
@@ -58,9 +58,12 @@
 
 // Config holds the settings of a Machine.
 type Config struct {
-	Self      model.InstanceID
+	// Self is the ID of the member.
+	Self model.InstanceID
+	// Tolerance must have a Window above zero.
 	Tolerance Tolerance
-	Rules     Rules
+	// Rules is zero outside of tests.
+	Rules Rules
 }
 
 const (
@@ -91,10 +94,10 @@
 	// caller, and after this instance has become a member. It spares a member that
 	// is used now and then the time in which a group forms.
 	activeFor = time.Minute
-	// meetFor is how long a new peer is told of this member while no limited caller
-	// is active.
+	// meetFor is how long reports are sent to a new peer that has not confirmed any,
+	// even while no limited caller is active.
 	meetFor = 10 * time.Second
-	// maxRetryAfter bounds the time to come back.
+	// maxRetryAfter bounds the time after which a refused caller may retry.
 	maxRetryAfter = 5 * time.Second
 	// equalPart is the part of the region's tokens that is shared equally, so
 	// that a member whose demand rises has tokens before its share has risen.
@@ -106,8 +109,8 @@
 	singlePart = 0.6
 	// reportInterval is the time between two calls of Tick. riseGain is the weight
 	// of the newest interval in a demand that rises, and fallGain in one that
-	// falls. With equal weights the share of a member with a few operations per
-	// second fell below one token between two of them.
+	// falls. A slower fall keeps the share of a member with a few operations per
+	// second from dropping below one token between two of them.
 	reportInterval = 100 * time.Millisecond
 	riseGain       = 0.3
 	fallGain       = 0.1
--- a/pkg/state/quota/machine.go
+++ b/pkg/state/quota/machine.go
@@ -46,8 +46,8 @@
 	removedAt time.Duration
 	// heardAt is when its newest report arrived.
 	heardAt time.Duration
-	// touchedAt is when the two members were in touch last, or when the peer became
-	// a member.
+	// touchedAt is when the two members last heard each other, or when the peer
+	// became a member.
 	touchedAt time.Duration
 	// heard is set once a report has arrived, whose time is sent.
 	heard bool
@@ -77,7 +77,8 @@
 	return &Machine{config: config, callers: make(map[model.CallerName]*caller), retired: make(map[model.CallerName]uint64)}
 }
 
-// advance moves the time forward. A clock that goes back is ignored.
+// advance sets the time of the machine. An earlier time than the present one is
+// ignored.
 func (m *Machine) advance(now time.Duration) { m.now = max(m.now, now) }
 
 // SetLimits replaces the limits. A caller whose Rate is not positive, and one
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -6,7 +6,7 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// Report is what a member tells another one.
+// Report is a message from one member to another about its use of the limits.
 type Report struct {
 	// Sent is the time of the report in milliseconds of the sender's clock, and
 	// Echo the Sent of the newest report of the receiver; zero for none.
@@ -81,8 +81,8 @@
 	c.updateWeight()
 }
 
-// Tick updates the demand and returns the reports to send. It is called every
-// 100 ms.
+// Tick updates the demand and returns the reports to send. It must be called
+// every reportInterval.
 func (m *Machine) Tick(now time.Duration) []Outgoing {
 	m.advance(now)
 	m.updatePeers()
@@ -159,16 +159,16 @@
 	return report, due
 }
 
-// isNewPeer reports whether a peer has just become a member and has not been in
-// touch yet. It is told at once, also while no caller is active: what a peer may
-// have used before its first report has to be charged.
+// isNewPeer reports whether a peer has become a member within meetFor and the two
+// members have not heard each other yet. Reports are sent to it even while no
+// caller is active, as what it may use before its first report must be charged.
 func (m *Machine) isNewPeer(p *peer) bool {
 	met := p.heard && p.echo != 0
 	return !met && m.now-p.touchedAt < meetFor
 }
 
-// Receive takes in the report of a peer. It returns the number of entries that
-// were dropped because they are invalid.
+// Receive processes the report of a peer. It returns the number of entries that
+// were dropped because they are invalid; 1 stands for a whole report.
 func (m *Machine) Receive(now time.Duration, from model.InstanceID, report Report) (dropped int) {
 	m.advance(now)
 	p := m.peer(from)
--- a/pkg/state/reuse/reuse.go
+++ b/pkg/state/reuse/reuse.go
@@ -12,7 +12,7 @@
 
 const (
 	// rateTime is the time constant of the decaying average of a caller's rate. It
-	// spans several uses of a caller that sends a unit every ten seconds.
+	// spans several units of a caller that sends one every ten seconds.
 	rateTime = 60 * time.Second
 	// holdTime is the assumed time for which a unit of work holds a connection.
 	// The product with the rate is the share of the time in which a caller needs
--- a/pkg/state/trial/trial.go
+++ b/pkg/state/trial/trial.go
@@ -1,5 +1,5 @@
-// Package trial decides how something that was found bad gets work again: one
-// unit at a time at first, and after each success at half the interval. It is
+// Package trial decides how a server or an upstream that was avoided gets work
+// again: single units at first, and after each success at half the interval. It is
 // deterministic: the time is an argument.
 package trial
 
@@ -10,8 +10,8 @@
 	// trial, up to maxInterval.
 	firstInterval = 500 * time.Millisecond
 	maxInterval   = 4 * time.Second
-	// steps is the number of successes in a row that end the trials. Something
-	// that fails 40% of its work passes them in one of twenty runs.
+	// steps is the number of successes in a row that end the trials. A candidate
+	// that fails 40% of its work ends them by chance with a probability of 5%.
 	steps = 6
 )
 
@@ -63,7 +63,8 @@
 	return false
 }
 
-// Failed records a failure: the steps begin anew, with a longer interval.
+// Failed records a failure. The count of successes restarts, and the first
+// interval doubles up to maxInterval.
 func (t *Trial) Failed(now time.Duration) {
 	if !t.active {
 		return
