--- a/pkg/coordination/dispatcher/dispatcher.go
+++ b/pkg/coordination/dispatcher/dispatcher.go
@@ -295,7 +295,8 @@
 	})
 }
 
-// Abandoned records that the answer to a statement is no longer waited for.
+// Abandoned records that there was no answer to a statement in time, which counts
+// as a fault of the upstream.
 func (d *Dispatcher) Abandoned(id model.GroupID, placement *dispatch.Placement) {
 	d.update(id, func(now time.Duration, g *group) { g.decisions.AnswerMissed(now, placement) })
 }
--- a/pkg/coordination/dispatcher/topology.go
+++ b/pkg/coordination/dispatcher/topology.go
@@ -17,7 +17,7 @@
 	// Servers holds, for each group to which a route leads, the members that
 	// serve it.
 	Servers map[model.GroupID][]model.Member
-	// Callers holds the client accounts.
+	// Callers holds the client accounts, ordered by name.
 	Callers []catalog.Caller
 }
 
--- a/pkg/coordination/engine/rate_test.go
+++ b/pkg/coordination/engine/rate_test.go
@@ -14,10 +14,11 @@
 	"gypsumdock/pkg/verdict"
 )
 
-// comeBack is when fakeRates lets a refused caller come back.
+// comeBack is the retry delay that fakeRates returns with a refusal.
 const comeBack = 250 * time.Millisecond
 
-// fakeRates admits left units of the caller "desk", and any of other callers.
+// fakeRates admits as many units of the caller "desk" as left says, and all units
+// of other callers.
 type fakeRates struct{ left, admitted, refunded int }
 
 func (r *fakeRates) Admit(caller model.CallerName) (bool, time.Duration) {
--- a/pkg/state/access/confirmation.go
+++ b/pkg/state/access/confirmation.go
@@ -23,7 +23,8 @@
 	row int64
 }
 
-// At returns the time; zero for never. It may be before the start of the clock.
+// At returns the time at which the configuration was known to be the newest, zero
+// for never. It is negative for a time before the start of the clock.
 func (c *Confirmation) At() time.Duration { return c.at }
 
 // ReadCompletely forgets the rows that the feed has shown. It precedes the rows
--- a/pkg/state/balance/balance_test.go
+++ b/pkg/state/balance/balance_test.go
@@ -171,7 +171,7 @@
 		return with, without
 	}
 
-	It("stays in the data centre while all servers are well", func() {
+	It("stays in the data centre while all servers answer at normal speed", func() {
 		with, _ := compare(func(*simulation) {})
 		Expect(with.lateShare()).To(BeNumerically("<", 0.001))
 		Expect(with.share(2) + with.share(3)).To(BeNumerically("<", 0.01))
--- a/pkg/state/bundle/callerpolicy_test.go
+++ b/pkg/state/bundle/callerpolicy_test.go
@@ -43,8 +43,8 @@
 		Entry("priority 2", model.CallerPolicy{Priority: 2}, "priority = 2"),
 	)
 
-	// Instances of the version before refuse a bundle with keys that they do not
-	// know, and apply makes a new revision if the digest differs.
+	// Instances of an earlier version refuse a bundle with keys that they do not
+	// know, and apply creates a new revision if the digest differs.
 	It("leaves the stored form of a caller without one as it was", func() {
 		for _, keys := range []string{"", "rate = 0", "priority = 1"} {
 			stored, err := json.Marshal(merged(callerWith(keys)).Callers)
--- a/pkg/state/dispatch/faults_test.go
+++ b/pkg/state/dispatch/faults_test.go
@@ -56,8 +56,7 @@
 	return true
 }
 
-// The load is that of one instance of the Tregwynt deployment, with all slots of
-// the databases to itself.
+// The load is that of one instance that has all slots of the databases to itself.
 var _ = Describe("an upstream that fails part of its reads", func() {
 	const length = 30 * time.Second
 
@@ -97,7 +96,7 @@
 		return float64(s.counts["at "+string(id)]) / float64(reads)
 	}
 
-	It("gets next to none of them, whatever its probe says", func() {
+	It("gets hardly any of them, even if its probe succeeds", func() {
 		with, without := run(true, fortyPercent(localReplica)), run(false, fortyPercent(localReplica))
 		Expect(without.counts["faults"]).To(BeNumerically(">", 500))
 		Expect(with.counts["faults"]).To(BeNumerically("<", 50))
--- a/pkg/state/dispatch/group.go
+++ b/pkg/state/dispatch/group.go
@@ -98,7 +98,7 @@
 	late [2]lateUnits
 	// usages measures the callers' use of the slots, by kindIndex.
 	usages [2]usage
-	// refusals counts the refusals, to spread the returns of their callers.
+	// refusals counts the refusals because of the queue. It spreads RetryAfter.
 	refusals uint64
 	// avoidances holds the changes that TakeAvoidances has not returned yet.
 	avoidances []Avoidance
--- a/pkg/state/dispatch/isolation_test.go
+++ b/pkg/state/dispatch/isolation_test.go
@@ -11,7 +11,7 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// The routes of the deployment with 26 instances; see page 15.
+// The routes of a load with three priorities; see docs/design/15-hard-load.md.
 const (
 	urgent = iota
 	normal
--- a/pkg/state/dispatch/late_test.go
+++ b/pkg/state/dispatch/late_test.go
@@ -48,7 +48,7 @@
 	})
 
 	// Guards against callers that were refused together and return together.
-	It("is refused at once if the queue is too long for its deadline, with spread times to come back", func() {
+	It("is refused at once if the queue is too long for its deadline, with spread retry times", func() {
 		group := newPrimaryOnly(1)
 		var times []time.Duration
 		for range 400 {
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -63,7 +63,8 @@
 	g.averageLatencies[route] = g.averageLatency(route) + time.Duration(averageWeight*float64(latency-g.averageLatency(route)))
 }
 
-// Abandoned records that the answer to a statement is no longer waited for.
+// Abandoned records that the answer to a statement is no longer waited for. It does
+// not count as a fault of the upstream; see AnswerMissed.
 func (g *Group) Abandoned(placement *Placement) {
 	if target := g.upstream(placement.Upstream); target != nil {
 		target.endStatement(placement)
--- a/pkg/state/dispatch/place.go
+++ b/pkg/state/dispatch/place.go
@@ -15,6 +15,7 @@
 	return g.placeRead(now, unit)
 }
 
+// placeAtPrimary places a unit at the primary, or returns nil if it has no room.
 func (g *Group) placeAtPrimary(now time.Duration, unit *Unit) *Placement {
 	if !g.primaryHasRoomFor(now, unit.Caller) {
 		return nil
--- a/pkg/state/dispatch/primaryreads_test.go
+++ b/pkg/state/dispatch/primaryreads_test.go
@@ -15,8 +15,7 @@
 func wave(now time.Duration) float64 { return math.Sin(2 * math.Pi * now.Seconds() / 4) }
 
 var _ = Describe("reads at the primary", func() {
-	// The load of the deployment with 73 instances at one group: 70% of it reads
-	// that see the session's own writes, in waves of plus and minus half, while
+	// The load of one group: 70% of it reads that see the session's own writes, in waves of plus and minus half, while
 	// replicas lag by 50 to 100 times the usual 35 ms.
 	run := func(withReads bool) (s *callerSimulation, lastSlot int) {
 		const length = 20 * time.Second
--- a/pkg/state/dispatch/refuse.go
+++ b/pkg/state/dispatch/refuse.go
@@ -54,7 +54,7 @@
 }
 
 // classAwaitsPrimary reports whether the units of the class can run only at a
-// primary, and none accepts work now.
+// primary, and the group has none that accepts work now.
 func (g *Group) classAwaitsPrimary(now time.Duration, c *class) bool {
 	return g.awaitsPrimary(now, &Unit{NeedsPrimary: c.key.needsPrimary, MaxAge: c.key.maxAge})
 }
@@ -151,8 +151,9 @@
 	return false, g.refuseTooLong(now, unit)
 }
 
-// refuseTooLong returns a refusal because of the queue. The times to come back
-// are spread over as much again as the expected wait.
+// refuseTooLong returns a refusal because of the queue. RetryAfter is spread
+// between one and two times the expected wait, so that refused callers do not
+// retry all at once.
 func (g *Group) refuseTooLong(now time.Duration, unit *Unit) *Refusal {
 	wait, found := g.queueWait(now, unit, g.unitsAhead(now, unit)+1)
 	if !found {
@@ -160,8 +161,8 @@
 	}
 	wait = max(wait, minRetryAfter)
 	g.refusals++
-	// Multiples of the golden ratio spread evenly over the unit interval, however
-	// many there are.
+	// The fractional parts of multiples of the golden ratio are spread evenly over
+	// the unit interval for any number of refusals.
 	_, spread := math.Modf(float64(g.refusals%spreadPeriod) * math.Phi)
 	return &Refusal{Reason: RefusedQueueTooLong, RetryAfter: wait + time.Duration(spread*float64(wait))}
 }
--- a/pkg/state/loadshare/loadshare_test.go
+++ b/pkg/state/loadshare/loadshare_test.go
@@ -121,7 +121,7 @@
 })
 
 var _ = Describe("Reported", func() {
-	It("refuses what cannot be, and uses nothing of it", func() {
+	It("refuses an invalid report, and uses no part of it", func() {
 		share := newShare()
 		good := loadshare.Count{Upstream: "u", Outstanding: 9}
 		for _, invalid := range []struct {
--- a/pkg/state/loadshare/waves_test.go
+++ b/pkg/state/loadshare/waves_test.go
@@ -183,7 +183,7 @@
 			return means[server] * (1 + 0.5*math.Sin(phase))
 		}
 	}
-	// With 4 for each, the slots were divided equally before.
+	// divided is the limit of each server if the slots are divided equally.
 	const divided = 4
 
 	// The sum stays below the capacity of 277 units a second.
@@ -195,7 +195,8 @@
 		Expect(with.overfullShare()).To(BeNumerically("<", 0.25))
 	})
 
-	// The minimum of one instead of an equal part made 65% of the units late.
+	// Guards against limits below an equal part, with which slots idle while the
+	// counts of the others are out of date.
 	It("lose nothing while all have equal waves close to the capacity", func() {
 		rate := wave(65, 65, 65, 65)
 		without, with := newWaves(divided, rate).run(length), newWaves(0, rate).run(length)
--- a/pkg/state/quota/demand_test.go
+++ b/pkg/state/quota/demand_test.go
@@ -160,7 +160,7 @@
 
 var _ = Describe("a load in virtual time on 12 members", func() {
 	// A fixed division into equal shares refuses most of an uneven load.
-	It("at 60% of the rate is refused next to nothing, however unevenly it is spread", func() {
+	It("at 60% of the rate is hardly ever refused, however unevenly it is spread", func() {
 		for _, limit := range []quota.Limit{{Caller: hot, Rate: 20, Burst: 10}, {Caller: hot, Rate: 100, Burst: 20}, {Caller: hot, Rate: 100, Burst: 200}, {Caller: hot, Rate: 400, Burst: 40}} {
 			for _, skew := range []float64{1, 0.5, 0.1} {
 				r := load{limit: limit, demand: 0.6, wave: 0.5, skew: skew}.play(60 * time.Second)
@@ -170,10 +170,10 @@
 		}
 	})
 
-	// A member that is heard for the first time may have used its share without a
-	// report. Members that met only with the first load refused all of it for four
-	// seconds.
-	It("that begins after the region was idle is refused next to nothing", func() {
+	// Guards against members that exchange their first reports only under load: each
+	// charges what the others may have used unreported, and would refuse the load
+	// until that is paid back.
+	It("that begins after the region was idle is hardly ever refused", func() {
 		for _, skew := range []float64{1, 0.5} {
 			limit := quota.Limit{Caller: hot, Rate: 100, Burst: 100}
 			r := load{limit: limit, demand: 0.6, wave: 0.5, skew: skew, idle: true}.play(10 * time.Second)
@@ -196,7 +196,7 @@
 	})
 
 	// An equal share of a burst of two is less than one token.
-	It("of a caller with a rate of one or two is refused next to nothing", func() {
+	It("of a caller with a rate of one or two is hardly ever refused", func() {
 		for _, limit := range []quota.Limit{{Caller: hot, Rate: 2, Burst: 2}, {Caller: hot, Rate: 1, Burst: 1}} {
 			for _, skew := range []float64{1, 0.5, 0.1} {
 				r := load{limit: limit, demand: 0.6, wave: 0.5, skew: skew}.play(300 * time.Second)
--- a/pkg/state/quota/removed_test.go
+++ b/pkg/state/quota/removed_test.go
@@ -12,8 +12,8 @@
 )
 
 var _ = Describe("members that are removed while they are cut off together", func() {
-	// Two of three members that still heard each other went on as half of the members
-	// they knew, although the third one had removed both.
+	// Guards against two of three members that still hear each other and go on
+	// spending as half of the members they know, although the third has removed both.
 	DescribeTable("do not spend beside the members that removed them",
 		func(removedAfter time.Duration) {
 			p := membership
@@ -36,7 +36,8 @@
 		Entry("removed after 4 s", 4*time.Second),
 	)
 
-	// The schedules of the kind "membership" that were found in seeds 0 to 2399.
+	// Regression cases: random schedules of the kind "membership" in which members
+	// that removed each other spent more than the tolerance.
 	DescribeTable("stay within the tolerance in a schedule that exceeded it",
 		func(seed uint64) {
 			Expect(newSimulation(rand.New(rand.NewPCG(seed, 18)).IntN, quota.Rules{}, membership).run(1200)).To(Succeed())
--- a/pkg/state/quota/retry_test.go
+++ b/pkg/state/quota/retry_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("a refusal", func() {
 	// Callers that are all told the same time come back at once and are refused
 	// again.
-	It("announces times that follow each other at the rate, up to a bound", func() {
+	It("returns retry times spaced by the rate, up to a bound", func() {
 		const start = 10 * time.Second
 		machine := quota.New(quota.Config{Self: "a", Tolerance: quota.Tolerance{Window: 5 * time.Second}})
 		machine.SetLimits(0, []quota.Limit{{Caller: hot, Rate: 10, Burst: 5}})
--- a/pkg/state/reuse/count_test.go
+++ b/pkg/state/reuse/count_test.go
@@ -351,7 +351,7 @@
 
 func (c *count) perThousand() float64 { return 1000 * float64(c.opened) / float64(c.units) }
 
-// String returns the figures for the design page.
+// String returns the counts and averages for the test report.
 func (c *count) String() string {
 	return fmt.Sprintf("opened %.0f per 1,000 units; mean wait %.1f ms, of the ten rarest callers %.1f ms; slot time for openings %.1f%%; "+
 		"to a server of another data centre %.0f%%; refused %d",
--- a/pkg/state/reuse/load_test.go
+++ b/pkg/state/reuse/load_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// The load is that of the deployment with 26 instances: 74 callers, whose demand
-// follows a Zipf distribution, at one group of three upstreams.
+// The load is that of 74 callers, whose demand follows a Zipf distribution, at one
+// group of three upstreams.
 var _ = DescribeTable("connections opened under a load of many callers",
 	func(maxConnections int, perSecond float64, most float64, rareWait time.Duration) {
 		l := load{perSecond: perSecond, maxConnections: maxConnections}
@@ -24,7 +24,7 @@
 		Expect(chosen.perThousand()).To(BeNumerically("<", most))
 		Expect(chosen.rareWaited / time.Duration(chosen.rareStarted)).To(BeNumerically("<", rareWait))
 
-		// Each rule is worth its cost.
+		// Each rule must lower the number of openings or the wait.
 		oldest := played("one home, oldest", func(l *load) { l.oldest = true })
 		Expect(oldest.opened).To(BeNumerically(">", chosen.opened))
 		homeless := played("no home, least reuse", func(l *load) { l.home = noHome })
--- a/pkg/state/reuse/reuse_test.go
+++ b/pkg/state/reuse/reuse_test.go
@@ -59,7 +59,7 @@
 	})
 
 	// Guards against a caller that was frequent once and keeps its connection.
-	It("is the connection of a caller that has ceased to ask", func() {
+	It("is the connection of a caller that sends no more units", func() {
 		ceased := used(t, now, "ceased", 10)
 		later := now + 5*time.Minute
 		rare := used(t, later, "rare", 1)
@@ -86,7 +86,7 @@
 
 var _ = Describe("Tracker", func() {
 	// Guards against memory that grows with each caller that was ever seen.
-	It("forgets callers that no longer ask, but not those with a connection", func() {
+	It("forgets callers that send no more units, but not those with a connection", func() {
 		t := reuse.NewTracker()
 		held := t.Caller(0, "held")
 		held.Retain()
--- a/pkg/state/serving/spread_test.go
+++ b/pkg/state/serving/spread_test.go
@@ -10,8 +10,8 @@
 	"gypsumdock/pkg/state/serving"
 )
 
-// The regions are those of the deployments on page 15: eight groups with an
-// upstream in each of three data centres, and 4 to 12 members.
+// Each region has eight groups with an upstream in each of three data centres, and
+// 4 to 12 members; see docs/design/15-hard-load.md.
 var _ = Describe("the servers of eight groups in three data centres", func() {
 	const groups, regions = 8, 300
 	centres := []model.DataCentre{"centre-0", "centre-1", "centre-2"}
--- a/pkg/state/trial/trial_test.go
+++ b/pkg/state/trial/trial_test.go
@@ -43,7 +43,7 @@
 		Expect(t.Passed(0)).To(BeFalse())
 	})
 
-	It("gives work again by steps after the cause has gone", func() {
+	It("gives work again by steps after the fault has ended", func() {
 		var t trial.Trial
 		t.Start(0)
 		units, ended := run(&t, 10*time.Second, func(int) bool { return true })
@@ -53,7 +53,7 @@
 	})
 
 	// Guards against trials that cost callers as much as the fault itself.
-	It("gives next to no work while the cause lasts", func() {
+	It("gives hardly any work while the fault lasts", func() {
 		var t trial.Trial
 		t.Start(0)
 		units, _ := run(&t, time.Minute, func(int) bool { return false })
@@ -61,7 +61,7 @@
 		Expect(t.Active()).To(BeTrue())
 	})
 
-	It("gives next to no work while 40% fail", func() {
+	It("gives hardly any work while 40% of it fails", func() {
 		var t trial.Trial
 		t.Start(0)
 		units, ended := run(&t, 30*time.Second, func(unit int) bool { return unit%5 != 0 && unit%5 != 2 })
