--- a/pkg/coordination/engine/rate_test.go
+++ b/pkg/coordination/engine/rate_test.go
@@ -14,8 +14,8 @@
 	"gypsumdock/pkg/verdict"
 )
 
-// comeBack is the retry delay that fakeRates returns with a refusal.
-const comeBack = 250 * time.Millisecond
+// retryDelay is the retry delay that fakeRates returns with a refusal.
+const retryDelay = 250 * time.Millisecond
 
 // fakeRates admits as many units of the caller "desk" as left says, and all units
 // of other callers.
@@ -26,7 +26,7 @@
 		return true, 0
 	}
 	if r.left == 0 {
-		return false, comeBack
+		return false, retryDelay
 	}
 	r.left--
 	r.admitted++
@@ -59,7 +59,7 @@
 		_, refused := f.engine.Admit(ctx, f.statement("", false))
 		Expect(refused).To(refusedWith(verdict.Overloaded, verdict.NotRun))
 		Expect(refused.Reason).To(Equal("over the rate limit"))
-		Expect(refused.RetryAfter).To(Equal(comeBack))
+		Expect(refused.RetryAfter).To(Equal(retryDelay))
 		Expect(refused.SQLState()).To(Equal("53300"))
 		Expect(refused.Detail()).To(Equal("The request was not run. Retry after 250 ms."))
 		Expect(f.engine.InFlight()).To(Equal(slots))
--- a/pkg/coordination/region/confirm_test.go
+++ b/pkg/coordination/region/confirm_test.go
@@ -132,7 +132,8 @@
 		}
 	})
 
-	// A revocation in a row that cannot be read was confirmed as if there were none.
+	// Guards against a revocation that is missed because its row cannot be read, while
+	// the configuration is confirmed.
 	DescribeTable("stands while the row of the configuration cannot be used, and goes on after that",
 		func(entry region.Entry) {
 			expectAdvance()
@@ -152,7 +153,8 @@
 		Entry("an older version", region.Entry{Key: "config", Value: []byte("3")}),
 	)
 
-	// One such row of another use of the table would have stopped it for good.
+	// Guards against an unreadable row of other content that stops the confirmation
+	// for good.
 	It("goes on after a complete read if a row cannot be read at all", func() {
 		expectAdvance()
 		reads := func() int {
@@ -177,8 +179,8 @@
 		Expect(loop.Snapshot().Catalog.Version).To(Equal(catalog.Version(7)))
 	})
 
-	// A store that was restored from a copy numbers new changes as if they were old
-	// ones, so that a removal was never seen and the rest was confirmed.
+	// Guards against a removal that is missed after the store was restored from a
+	// copy, as it then numbers new changes like old ones.
 	It("is renewed by a complete read if the store has gone back", func() {
 		expectAdvance()
 		table.put(region.Entry{Key: "other"})
--- a/pkg/state/access/access_test.go
+++ b/pkg/state/access/access_test.go
@@ -63,8 +63,8 @@
 		}, access.KeyUnknown, ""),
 	)
 
-	// A key that was just added was denied by servers that had not got the new
-	// configuration yet.
+	// Guards against the denial of a key that was just added by servers that do not
+	// have the new configuration yet.
 	DescribeTable("leaves a unit to others if the sender has a newer configuration",
 		func(sender catalog.Version, key model.KeyDigest, reason access.Reason) {
 			request := access.Request{Catalog: configured(), Route: &keyed, Key: key, Caller: "a", Sender: sender}
--- a/pkg/state/balance/balance_test.go
+++ b/pkg/state/balance/balance_test.go
@@ -291,7 +291,8 @@
 		return count
 	}
 
-	// A frozen server gives no answer from which its state could be learnt.
+	// Guards against a frozen server that stays in use, as it sends no answer whose
+	// time could be measured.
 	It("avoids a server while a single read there is outstanding for long", func() {
 		bal := balance.New()
 		bal.Sent(0, "s0", balance.Request{Route: route})
--- a/pkg/state/dispatch/faults.go
+++ b/pkg/state/dispatch/faults.go
@@ -160,12 +160,12 @@
 	}
 }
 
-// leastFailing returns the counts of the least failing other upstream in use, or
-// nil if there is none.
-func (g *Group) leastFailing(now time.Duration, than *upstream) *faults {
+// leastFailing returns the counts of the least failing upstream in use except the
+// excluded one, or nil if there is none.
+func (g *Group) leastFailing(now time.Duration, excluded *upstream) *faults {
 	var best *faults
 	for _, other := range g.upstreams {
-		if other == than || other.faults.trial.Active() || !other.isReachable(now) {
+		if other == excluded || other.faults.trial.Active() || !other.isReachable(now) {
 			continue
 		}
 		if best == nil || other.faults.cautiousRatio() < best.cautiousRatio() {
@@ -196,15 +196,15 @@
 	return trialCost, candidate.faults.trial.Admits(now)
 }
 
-// othersCanTake reports whether another upstream that is not avoided can run the
-// read in time, whether or not it has room now.
-func (g *Group) othersCanTake(now time.Duration, unit *Unit, than *upstream) bool {
+// othersCanTake reports whether an upstream other than the excluded one that is
+// not avoided can run the read in time, whether or not it has room now.
+func (g *Group) othersCanTake(now time.Duration, unit *Unit, excluded *upstream) bool {
 	end := unit.Deadline
 	if unit.Target != 0 {
 		end = min(end, unit.Target)
 	}
 	for _, other := range g.upstreams {
-		if other == than || other.faults.trial.Active() || !other.isReachable(now) || unit.hasFailedAt(other.spec.ID) || other.refusesAll(now) {
+		if other == excluded || other.faults.trial.Active() || !other.isReachable(now) || unit.hasFailedAt(other.spec.ID) || other.refusesAll(now) {
 			continue
 		}
 		if other.spec.ID == g.leadership.Primary {
--- a/pkg/state/dispatch/late_test.go
+++ b/pkg/state/dispatch/late_test.go
@@ -47,7 +47,7 @@
 		Expect(group.DecideWaiting(millis(30))).To(HaveLen(1))
 	})
 
-	// Guards against callers that were refused together and return together.
+	// Guards against callers that are refused together and retry together.
 	It("is refused at once if the queue is too long for its deadline, with spread retry times", func() {
 		group := newPrimaryOnly(1)
 		var times []time.Duration
--- a/pkg/state/dispatch/load_test.go
+++ b/pkg/state/dispatch/load_test.go
@@ -244,8 +244,8 @@
 	return float64(s.counts[result+" "+route]) / float64(total)
 }
 
-// The load is that of one instance of the Tregwynt deployment at its peak, with
-// all slots of the databases to itself.
+// The load is that of one instance at its peak that has all slots of the databases
+// to itself.
 var _ = Describe("a load", func() {
 	const length = 20 * time.Second
 
--- a/pkg/state/loadshare/loadshare.go
+++ b/pkg/state/loadshare/loadshare.go
@@ -81,7 +81,7 @@
 	raisedAt time.Duration
 	// reported holds the counts of the other servers.
 	reported map[model.InstanceID]reported
-	// sent holds what the other servers were told.
+	// sent holds the counts that were last sent to each other server.
 	sent map[model.InstanceID]sent
 }
 
@@ -160,8 +160,8 @@
 	for _, count := range counts {
 		u := s.upstreams[count.Upstream]
 		if _, known := u.reported[from]; !known {
-			// The sender may have refused an earlier report, before it served the
-			// group. It is told again.
+			// The sender may have refused earlier reports, before it served the
+			// group. The count is sent to it again.
 			delete(u.sent, from)
 		}
 		u.reported[from] = reported{Count: count, at: now}
--- a/pkg/state/quota/retry_test.go
+++ b/pkg/state/quota/retry_test.go
@@ -11,14 +11,14 @@
 )
 
 var _ = Describe("a refusal", func() {
-	// Callers that are all told the same time come back at once and are refused
-	// again.
+	// Guards against equal retry times, with which all refused callers retry at once
+	// and are refused again.
 	It("returns retry times spaced by the rate, up to a bound", func() {
 		const start = 10 * time.Second
 		machine := quota.New(quota.Config{Self: "a", Tolerance: quota.Tolerance{Window: 5 * time.Second}})
 		machine.SetLimits(0, []quota.Limit{{Caller: hot, Rate: 10, Burst: 5}})
 		machine.SetMembers(0, []model.Member{{ID: "a"}}, 0)
-		// By now the member that may have been removed before counts no more.
+		// At start the assumed removed member is no longer counted.
 		machine.SetMembers(start, []model.Member{{ID: "a"}}, start)
 		admitted := 0
 		for {
