--- a/pkg/state/dispatch/primaryreads_test.go
+++ b/pkg/state/dispatch/primaryreads_test.go
@@ -15,8 +15,9 @@
 func wave(now time.Duration) float64 { return math.Sin(2 * math.Pi * now.Seconds() / 4) }
 
 var _ = Describe("reads at the primary", func() {
-	// The load of one group: 70% of it reads that see the session's own writes, in waves of plus and minus half, while
-	// replicas lag by 50 to 100 times the usual 35 ms.
+	// The load of one group: 70% of it reads that see the session's own writes, in
+	// waves of plus and minus half, while replicas lag by 50 to 100 times the usual
+	// 35 ms.
 	run := func(withReads bool) (s *callerSimulation, lastSlot int) {
 		const length = 20 * time.Second
 		s = newCallerSimulation(newBusyGroup())
@@ -57,8 +58,8 @@
 		return s, lastSlot
 	}
 
-	// Guards against reads that fill the primary when replicas fall behind: the
-	// units that need it had to wait for a read to end.
+	// Guards against reads that fill the primary when replicas fall behind, so that
+	// the units that need it wait for a read to end.
 	It("leave a slot to the units that need it while replicas lag", func() {
 		alone, _ := run(false)
 		together, lastSlot := run(true)
--- a/pkg/state/dispatch/search_test.go
+++ b/pkg/state/dispatch/search_test.go
@@ -24,7 +24,7 @@
 // of newGroup: half of three.
 const callerBound = 1
 
-// queueSearch plays random events against a group and keeps what must follow.
+// queueSearch plays random events against a group and records the expected state.
 type queueSearch struct {
 	t       *rapid.T
 	group   *dispatch.Group
--- a/pkg/state/quota/bucket.go
+++ b/pkg/state/quota/bucket.go
@@ -13,20 +13,22 @@
 	rate  float64
 	burst float64
 
-	// tokens is what the region has by the knowledge of this member, as of
-	// filledAt. It is negative while use that was reported late is paid back.
+	// tokens is the number of operations that all members together may run at once,
+	// by the knowledge of this member as of filledAt. It is negative while use that
+	// was reported late is paid back.
 	tokens   float64
 	filledAt time.Duration
-	// known is the same without what silent members may spend. It takes the place of
-	// tokens once all of them have reported their use.
+	// known is tokens without the charge for silent members. It replaces tokens once
+	// all of them have reported their use.
 	known float64
 	// forgiven is the debt that was dropped in the last limitSpread before
 	// forgivenAt. It counts when the limit is raised here later than elsewhere.
 	forgiven   float64
 	forgivenAt time.Duration
-	// credit is what was charged for silent members.
+	// credit is the number of operations that were charged for silent members.
 	credit float64
-	// alone is what this member may spend without a group, as of aloneAt.
+	// alone is the number of operations that this member may run without a group,
+	// as of aloneAt.
 	alone   float64
 	aloneAt time.Duration
 	// aloneFor is the group.number for which alone was set.
--- a/pkg/state/quota/demand_test.go
+++ b/pkg/state/quota/demand_test.go
@@ -159,7 +159,8 @@
 }
 
 var _ = Describe("a load in virtual time on 12 members", func() {
-	// A fixed division into equal shares refuses most of an uneven load.
+	// Guards against a fixed division into equal shares, which refuses most of an
+	// uneven load.
 	It("at 60% of the rate is hardly ever refused, however unevenly it is spread", func() {
 		for _, limit := range []quota.Limit{{Caller: hot, Rate: 20, Burst: 10}, {Caller: hot, Rate: 100, Burst: 20}, {Caller: hot, Rate: 100, Burst: 200}, {Caller: hot, Rate: 400, Burst: 40}} {
 			for _, skew := range []float64{1, 0.5, 0.1} {
@@ -182,8 +183,8 @@
 		}
 	})
 
-	// Shares that are too small, or a debt that is counted twice, leave part of the
-	// rate unused.
+	// Guards against shares that are too small and a debt that is counted twice, which
+	// leave part of the rate unused.
 	It("at five times the rate gets at least 95% of its rate", func() {
 		for _, limit := range []quota.Limit{{Caller: hot, Rate: 2, Burst: 2}, {Caller: hot, Rate: 20, Burst: 10}, {Caller: hot, Rate: 100, Burst: 20}, {Caller: hot, Rate: 400, Burst: 40}} {
 			for _, skew := range []float64{1, 0.5} {
--- a/pkg/state/quota/removed_test.go
+++ b/pkg/state/quota/removed_test.go
@@ -36,8 +36,8 @@
 		Entry("removed after 4 s", 4*time.Second),
 	)
 
-	// Regression cases: random schedules of the kind "membership" in which members
-	// that removed each other spent more than the tolerance.
+	// Regression cases: random schedules of the kind "membership" that exceeded the
+	// tolerance.
 	DescribeTable("stay within the tolerance in a schedule that exceeded it",
 		func(seed uint64) {
 			Expect(newSimulation(rand.New(rand.NewPCG(seed, 18)).IntN, quota.Rules{}, membership).run(1200)).To(Succeed())
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -159,8 +159,8 @@
 	return report, due
 }
 
-// isNewPeer reports whether a peer has become a member within meetFor and the two
-// members have not heard each other yet. Reports are sent to it even while no
+// isNewPeer reports whether a peer has become a member within the last meetFor and
+// the two members have not heard each other yet. Reports are sent to it even while no
 // caller is active, as what it may use before its first report must be charged.
 func (m *Machine) isNewPeer(p *peer) bool {
 	met := p.heard && p.echo != 0
--- a/pkg/state/reuse/load_test.go
+++ b/pkg/state/reuse/load_test.go
@@ -24,7 +24,7 @@
 		Expect(chosen.perThousand()).To(BeNumerically("<", most))
 		Expect(chosen.rareWaited / time.Duration(chosen.rareStarted)).To(BeNumerically("<", rareWait))
 
-		// Each rule must lower the number of openings or the wait.
+		// Each rule must lower the number of openings.
 		oldest := played("one home, oldest", func(l *load) { l.oldest = true })
 		Expect(oldest.opened).To(BeNumerically(">", chosen.opened))
 		homeless := played("no home, least reuse", func(l *load) { l.home = noHome })
