--- a/pkg/state/balance/balance_test.go
+++ b/pkg/state/balance/balance_test.go
@@ -171,7 +171,7 @@
 		return with, without
 	}
 
-	It("stays in the data centre while all servers are well", func() {
+	It("stays in the data centre while all servers answer at normal speed", func() {
 		with, _ := compare(func(*simulation) {})
 		Expect(with.lateShare()).To(BeNumerically("<", 0.001))
 		Expect(with.share(2) + with.share(3)).To(BeNumerically("<", 0.01))
@@ -291,7 +291,8 @@
 		return count
 	}
 
-	// A frozen server gives no answer from which its state could be learnt.
+	// Guards against a frozen server that stays in use, as it sends no answer whose
+	// time could be measured.
 	It("avoids a server while a single read there is outstanding for long", func() {
 		bal := balance.New()
 		bal.Sent(0, "s0", balance.Request{Route: route})
--- a/pkg/state/dispatch/faults.go
+++ b/pkg/state/dispatch/faults.go
@@ -25,10 +25,10 @@
 	priorFaults     = 1
 	priorStatements = 4
 	// minDeviations is the number of standard deviations by which the ratios must
-	// differ. With 2 and 2.5, upstreams that all fail 30% were avoided at times.
+	// differ. With fewer, upstreams that fail equally would be avoided by chance.
 	minDeviations = 3
 	// trialCost is the cost of an upstream that is due for a trial. It is below
-	// all others.
+	// the cost of any other upstream, so that the trial is chosen.
 	trialCost = -time.Hour
 )
 
@@ -140,7 +140,8 @@
 	return u.othersKnown && u.active+u.othersOutstanding < u.spec.Slots
 }
 
-// updateAvoided avoids the upstreams that fail clearly more than the best other.
+// updateAvoided begins to avoid the upstreams that fail clearly more statements
+// than the least failing other upstream.
 func (g *Group) updateAvoided(now time.Duration) {
 	for _, candidate := range g.upstreams {
 		candidate.faults.decay(now)
@@ -159,12 +160,12 @@
 	}
 }
 
-// leastFailing returns the counts of the least failing other upstream in use, or
-// nil if there is none.
-func (g *Group) leastFailing(now time.Duration, than *upstream) *faults {
+// leastFailing returns the counts of the least failing upstream in use except the
+// excluded one, or nil if there is none.
+func (g *Group) leastFailing(now time.Duration, excluded *upstream) *faults {
 	var best *faults
 	for _, other := range g.upstreams {
-		if other == than || other.faults.trial.Active() || !other.isReachable(now) {
+		if other == excluded || other.faults.trial.Active() || !other.isReachable(now) {
 			continue
 		}
 		if best == nil || other.faults.cautiousRatio() < best.cautiousRatio() {
@@ -174,8 +175,8 @@
 	return best
 }
 
-// failsMoreThan reports whether the ratio is clearly above that of another
-// upstream, and not by chance.
+// failsMoreThan reports whether the ratio is at least faultFactor times that of
+// another upstream, and the difference exceeds minDeviations standard deviations.
 func (f *faults) failsMoreThan(other *faults) bool {
 	if f.ratio() < faultFactor*other.cautiousRatio() {
 		return false
@@ -195,15 +196,15 @@
 	return trialCost, candidate.faults.trial.Admits(now)
 }
 
-// othersCanTake reports whether another upstream that is not avoided can run the
-// read in time, whether or not it has room now.
-func (g *Group) othersCanTake(now time.Duration, unit *Unit, than *upstream) bool {
+// othersCanTake reports whether an upstream other than the excluded one that is
+// not avoided can run the read in time, whether or not it has room now.
+func (g *Group) othersCanTake(now time.Duration, unit *Unit, excluded *upstream) bool {
 	end := unit.Deadline
 	if unit.Target != 0 {
 		end = min(end, unit.Target)
 	}
 	for _, other := range g.upstreams {
-		if other == than || other.faults.trial.Active() || !other.isReachable(now) || unit.hasFailedAt(other.spec.ID) || other.refusesAll(now) {
+		if other == excluded || other.faults.trial.Active() || !other.isReachable(now) || unit.hasFailedAt(other.spec.ID) || other.refusesAll(now) {
 			continue
 		}
 		if other.spec.ID == g.leadership.Primary {
@@ -220,7 +221,8 @@
 	return false
 }
 
-// TakeAvoidances returns the changes since its last call.
+// TakeAvoidances returns the upstreams that have begun or ceased to be avoided
+// since its last call, in the order of the changes.
 func (g *Group) TakeAvoidances() []Avoidance {
 	taken := g.avoidances
 	g.avoidances = nil
