--- a/pkg/instance/hostedconfirmed.go
+++ b/pkg/instance/hostedconfirmed.go
@@ -53,8 +53,11 @@
 	unconfirmed := h.wasReady.isSet() && now-lastConfirmed > cutOffAfter
 	if unconfirmed != h.unconfirmed.isSet() {
 		h.unconfirmed.change(unconfirmed)
-		events.Log(ctx, h.logger, events.ConfirmationTooOld, slog.Bool("unconfirmed", unconfirmed),
-			slog.Uint64("configuration", uint64(snapshot.Catalog.Version)), slog.Duration("confirmation_age", age))
+		attrs := []slog.Attr{slog.Bool("unconfirmed", unconfirmed), slog.Uint64("configuration", uint64(snapshot.Catalog.Version))}
+		if snapshot.ConfirmedAt != 0 {
+			attrs = append(attrs, slog.Duration("confirmation_age", age))
+		}
+		events.Log(ctx, h.logger, events.ConfirmationTooOld, attrs...)
 	}
 	return lastConfirmed
 }
--- a/pkg/state/dispatch/faults.go
+++ b/pkg/state/dispatch/faults.go
@@ -39,8 +39,7 @@
 const (
 	// FaultNone means that the upstream did what it should.
 	FaultNone Fault = iota
-	// FaultStatement means that the upstream could not execute the statement. It
-	// counts for reads only: a write may violate a rule of the database.
+	// FaultStatement means that the upstream could not execute the statement.
 	FaultStatement
 	// FaultTimeout means that the upstream gave up the statement.
 	FaultTimeout
@@ -85,8 +84,12 @@
 	return (f.failed + priorFaults) / (f.statements + priorStatements)
 }
 
-// recordResult counts a statement of the placement.
+// recordResult counts a statement of the placement if it only reads. Writes count
+// neither way, as the ratio decides on reads only.
 func (g *Group) recordResult(now time.Duration, target *upstream, placement *Placement, failed bool) {
+	if !placement.read {
+		return
+	}
 	f := &target.faults
 	f.decay(now)
 	f.statements++
@@ -115,12 +118,14 @@
 		return false
 	}
 	target.endStatement(placement)
+	placement.meter.stop(now)
 	target.outstanding = max(0, target.outstanding-1)
 	target.recordAnswer(now)
 	if latency >= g.averageLatency(route) {
 		target.recordLatency(now, latency, g.averageLatency(route))
 	}
-	counts := fault == FaultTimeout || fault == FaultStatement && placement.read || fault == FaultBusy && target.shouldHaveRoom()
+	counts := fault == FaultTimeout || fault == FaultStatement || fault == FaultBusy && target.shouldHaveRoom()
+	counts = counts && placement.read
 	if counts {
 		g.recordResult(now, target, placement, true)
 	}
--- a/pkg/state/dispatch/faults_test.go
+++ b/pkg/state/dispatch/faults_test.go
@@ -208,10 +208,20 @@
 		return placement
 	}
 
-	It("counts no failed write, which may violate a rule of the database", func() {
+	// Guards against a primary that is avoided for reads after a few lost writes: only
+	// the successes of reads were counted, so that its ratio of faults was near one.
+	It("counts no write, whether it fails or is not answered", func() {
 		group := newGroup()
+		samplePrimary(group, 0)
 		Expect(group.AnswerFailed(0, place(group, newWrite(0)), "write", millis(5), dispatch.FaultStatement)).To(BeFalse())
-		Expect(group.AnswerFailed(0, place(group, newWrite(0)), "write", millis(5), dispatch.FaultTimeout)).To(BeTrue())
+		Expect(group.AnswerFailed(0, place(group, newWrite(0)), "write", millis(5), dispatch.FaultTimeout)).To(BeFalse())
+		for range 20 {
+			placement := place(group, newWrite(0))
+			group.AnswerMissed(0, placement)
+			group.Release(0, placement)
+		}
+		place(group, newRead(0))
+		Expect(group.TakeAvoidances()).To(BeEmpty())
 	})
 
 	It("counts a busy upstream if all servers together leave it a free slot", func() {
--- a/pkg/state/dispatch/observe.go
+++ b/pkg/state/dispatch/observe.go
@@ -55,9 +55,7 @@
 	placement.meter.stop(now)
 	target.outstanding = max(0, target.outstanding-1)
 	target.recordAnswer(now)
-	if placement.read {
-		g.recordResult(now, target, placement, false)
-	}
+	g.recordResult(now, target, placement, false)
 	target.recordLatency(now, latency, g.averageLatency(route))
 	g.peakLatencies[route] = max(latency, time.Duration(routePeakDecay*float64(g.peakLatencies[route])))
 	g.averageLatencies[route] = g.averageLatency(route) + time.Duration(averageWeight*float64(latency-g.averageLatency(route)))
--- a/pkg/state/quota/report.go
+++ b/pkg/state/quota/report.go
@@ -175,7 +175,7 @@
 	if p == nil || p.removedAt != 0 {
 		return 0
 	}
-	if milliseconds(report.Echo) > m.now || report.Sent == 0 || report.Sent > maxPeerUse {
+	if report.Echo > uint64(m.now/time.Millisecond) || report.Sent == 0 || report.Sent > maxPeerUse {
 		return 1
 	}
 	if report.Sent <= p.sent {
--- a/pkg/transport/textback/pool.go
+++ b/pkg/transport/textback/pool.go
@@ -130,6 +130,8 @@
 
 // Put returns a connection. It is closed unless it is reusable and not broken.
 func (p *Pools) Put(conn *Conn, reusable bool) {
+	// What a unit required and did not send must not reach the next one.
+	conn.setup = setup{}
 	if !reusable || conn.broken {
 		p.discard(conn)
 		return
--- a/pkg/transport/textback/setup.go
+++ b/pkg/transport/textback/setup.go
@@ -38,20 +38,31 @@
 	c.setup.prepare = &preparation{name: name, readOnly: readOnly, shape: shape}
 }
 
+// CheckSetup returns an error if the connection has no room for the statement to
+// prepare. Nothing was sent then, and the connection must be closed.
+func (c *Conn) CheckSetup() error {
+	wanted := c.setup.prepare
+	if wanted == nil || c.prepared[wanted.name] || len(c.prepared) < maxPrepared {
+		return nil
+	}
+	c.broken = true
+	return errors.Wrap(ErrNotPrepared, "too many prepared statements on the connection")
+}
+
 // Confirm sends the session values that the next statement needs, and waits
 // until they are set: a statement must not run with other values. It does
 // nothing if they are set already. After an error no statement was sent and the
 // connection must be closed.
 func (c *Conn) Confirm(deadline time.Time) error {
+	if err := c.CheckSetup(); err != nil {
+		return err
+	}
 	if !c.setup.setValues {
 		return nil
 	}
 	out, values := c.appendValues(c.out[:0])
-	out, prepares, err := c.appendPrepare(out)
+	out, prepares := c.appendPrepare(out)
 	c.out = out[:0]
-	if err != nil {
-		return err
-	}
 	if err := c.Send(out, deadline); err != nil {
 		return err
 	}
@@ -66,10 +77,7 @@
 // error the connection must be closed.
 func (c *Conn) ExchangeBegin(data []byte, deadline time.Time) (*statement.Answer, error) {
 	out, values := c.appendValues(c.out[:0])
-	out, prepares, err := c.appendPrepare(out)
-	if err != nil {
-		return nil, err
-	}
+	out, prepares := c.appendPrepare(out)
 	out = append(out, data...)
 	c.out = out[:0]
 	if err := c.Send(out, deadline); err != nil {
@@ -87,10 +95,7 @@
 // Exchange sends one statement and reads its answer. A statement to prepare goes
 // with it: if that fails, the upstream does not run the statement.
 func (c *Conn) Exchange(data []byte, deadline time.Time) (*statement.Answer, error) {
-	out, prepares, err := c.appendPrepare(c.out[:0])
-	if err != nil {
-		return nil, err
-	}
+	out, prepares := c.appendPrepare(c.out[:0])
 	out = append(out, data...)
 	c.out = out[:0]
 	if err := c.Send(out, deadline); err != nil {
@@ -134,17 +139,13 @@
 
 // appendPrepare appends the required preparation unless it was done before. It
 // returns the name that the upstream will confirm, or an empty one.
-func (c *Conn) appendPrepare(out []byte) ([]byte, string, error) {
+func (c *Conn) appendPrepare(out []byte) ([]byte, string) {
 	wanted := c.setup.prepare
 	c.setup.prepare = nil
 	if wanted == nil || c.prepared[wanted.name] {
-		return out, "", nil
-	}
-	if len(c.prepared) >= maxPrepared {
-		c.broken = true
-		return out, "", errors.Wrap(ErrNotPrepared, "too many prepared statements on the connection")
+		return out, ""
 	}
-	return c.codec.AppendPrepare(out, wanted.name, wanted.readOnly, wanted.shape), wanted.name, nil
+	return c.codec.AppendPrepare(out, wanted.name, wanted.readOnly, wanted.shape), wanted.name
 }
 
 // receiveAll reads a number of answers, each of which must be a success.
--- a/pkg/transport/textback/setup_test.go
+++ b/pkg/transport/textback/setup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,15 +15,17 @@
 
 var _ = Describe("Conn before a statement", func() {
 	var (
-		d    *textbacktest.Database
-		conn *textback.Conn
+		d     *textbacktest.Database
+		pools *textback.Pools
+		conn  *textback.Conn
 	)
 	read := []byte("QUERY 1 READ k\r\n")
 
 	BeforeEach(func() {
 		d = start(10)
+		pools = poolsOf(d, 0)
 		var err error
-		conn, _, err = poolsOf(d, 0).Get(context.Background(), textback.GetOptions{Upstream: "u"})
+		conn, _, err = pools.Get(context.Background(), textback.GetOptions{Upstream: "u"})
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -84,6 +87,34 @@
 		Expect(d.Statements()).To(Equal([]string{"PREPARE s READ q", "READ k", "PREPARE s READ q", "READ k"}))
 	})
 
+	// Guards against a write of unknown outcome although nothing was sent, as the
+	// connection has no room for another prepared statement.
+	It("fails before anything is sent if it holds too many prepared statements", func() {
+		for i := range 200 {
+			conn.RequirePrepared(fmt.Sprint("s", i), true, "q")
+			Expect(conn.Confirm(farDeadline())).To(Succeed())
+			exchange()
+		}
+		sent := len(d.Statements())
+		conn.RequirePrepared("one more", true, "q")
+		Expect(conn.CheckSetup()).To(MatchError(textback.ErrNotPrepared))
+		Expect(conn.Confirm(farDeadline())).To(MatchError(textback.ErrNotPrepared))
+		Expect(d.Statements()).To(HaveLen(sent))
+	})
+
+	// Guards against a preparation of a unit that was never sent, which the next
+	// user of the connection would send.
+	It("forgets what was required when the connection is returned", func() {
+		conn.RequireValues(map[string]string{"a": "1"})
+		conn.RequirePrepared("s", true, "q")
+		pools.Put(conn, true)
+		taken, _, err := pools.Get(context.Background(), textback.GetOptions{Upstream: "u"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken).To(BeIdenticalTo(conn))
+		exchange()
+		Expect(d.Statements()).To(Equal([]string{"READ k"}))
+	})
+
 	// Guards against a transaction that begins with the values of another session.
 	It("sends values and preparation with the begin, and fails if one is refused", func() {
 		conn.RequireValues(map[string]string{"a": "1"})
--- a/pkg/transport/textfront/access_test.go
+++ b/pkg/transport/textfront/access_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"time"
@@ -115,6 +116,21 @@
 	})
 })
 
+var _ = Describe("a refused start", func() {
+	// Guards against an access key in the log of a caller that gives it in the place
+	// of the database.
+	It("does not log an access key that is given as the database", func() {
+		f := newFixture(catalog.Route{}, startUpstream())
+		var logged strings.Builder
+		f.server.recorder = newRecorder(slog.New(slog.NewTextHandler(&logged, nil)))
+		const key = "key-5d1e77"
+		f.useAccounts(2, key)
+		Expect(f.start("START " + key + " " + name)).To(HavePrefix("ERROR NODATABASE"))
+		Expect(logged.String()).To(ContainSubstring("database="))
+		Expect(logged.String()).NotTo(ContainSubstring(key))
+	})
+})
+
 const denied = "ERROR DENIED not run: the access key is not valid"
 
 var _ = Describe("an open session", func() {
--- a/pkg/transport/textfront/recorder.go
+++ b/pkg/transport/textfront/recorder.go
@@ -216,9 +216,10 @@
 		slog.String("code", code.String()), slog.String("outcome", "not_run"), slog.String("cause", cause))
 }
 
-// startRefused records a session that was refused.
-func (r *recorder) startRefused(start statement.Start, code statement.FailureCode) {
+// startRefused records a session that was refused, with the name that it gave for
+// the database.
+func (r *recorder) startRefused(database string, code statement.FailureCode) {
 	r.log(events.RequestFailed, &r.failedLines,
-		slog.String("database", start.Database), slog.String("kind", "start"),
+		slog.String("database", database), slog.String("kind", "start"),
 		slog.String("code", code.String()), slog.String("outcome", "not_run"))
 }
--- a/pkg/transport/textfront/start.go
+++ b/pkg/transport/textfront/start.go
@@ -12,6 +12,7 @@
 	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/access"
 	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/lines"
 )
@@ -114,10 +115,19 @@
 
 // refuse sends a failure after which the connection is closed.
 func (s *session) refuse(code statement.FailureCode, text string) {
-	s.server.recorder.startRefused(s.start, code)
+	s.server.recorder.startRefused(s.loggedDatabase(), code)
 	s.sendRefusal(statement.Failure{Code: code, Text: text})
 }
 
+// loggedDatabase returns the name of the database for the log. A caller that gives
+// its access key in the place of the name must not have it logged.
+func (s *session) loggedDatabase() string {
+	if _, isKey := s.server.config.Dispatch.Catalog().CallerByKey(model.DigestKey(s.start.Database)); isKey {
+		return "an access key"
+	}
+	return s.start.Database
+}
+
 // sendRefusal sends a failure after which the connection is closed.
 func (s *session) sendRefusal(failure statement.Failure) {
 	s.out = s.codec().AppendFailure(s.out[:0], failure)
--- a/pkg/transport/textfront/transaction.go
+++ b/pkg/transport/textfront/transaction.go
@@ -146,6 +146,10 @@
 		return false
 	}
 	tx.requirePrepared(stmt)
+	if err := tx.conn.CheckSetup(); err != nil {
+		tx.discardConn()
+		return false
+	}
 	answer, err := tx.exchangeBy(tx.conn.ExchangeBegin, tx.conn.Codec().AppendBegin(nil, tx.readOnly, required), tx.answerDeadline())
 	if err != nil {
 		tx.session.server.recorder.retried(tx.unit, request, err.Error())
