Store: reads without an answer are repeated beside the open attempts

Change: package hedge; a read of the head row or of a whole table that has no answer after 250 ms is sent again, up to eight times, and the first answer counts. The permit's start is that of the first attempt, as before.

--- a/pkg/coordination/region/follow.go
+++ b/pkg/coordination/region/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"gypsumdock/pkg/coordination/hedge"
 	"gypsumdock/pkg/events"
 )
 
@@ -29,6 +30,10 @@
 	followPollInterval = 100 * time.Millisecond
 )
 
+// storeReadPolicy repeats a read of the store that gets no answer. Requests that
+// were sent during an outage may stay without one after its end.
+var storeReadPolicy = hedge.Policy{Interval: 250 * time.Millisecond, MaxAttempts: 8}
+
 // tableFeed is the feed of a table, with what follow needs to know of it.
 type tableFeed struct {
 	name string
@@ -124,8 +129,10 @@
 // changes after version.
 func (f tableFeed) next(ctx context.Context, version int64) (tableChange, error) {
 	if version < 0 {
-		entries, next, err := f.feed.Read(ctx)
-		return tableChange{entries: entries, complete: true, version: next}, err
+		return hedge.Do(ctx, storeReadPolicy, func(ctx context.Context) (tableChange, error) {
+			entries, next, err := f.feed.Read(ctx)
+			return tableChange{entries: entries, complete: true, version: next}, err
+		})
 	}
 	entries, next, err := f.feed.Next(ctx, version, f.maxWait)
 	return tableChange{entries: entries, version: next}, err
--- a/pkg/coordination/region/reader.go
+++ b/pkg/coordination/region/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gypsumdock/pkg/coordination/hedge"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/members"
@@ -189,7 +190,7 @@
 	l.lastHeadReadAt = l.now()
 	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
 	defer cancel()
-	head, err := l.config.Heads.Read(ctx)
+	head, err := hedge.Do(ctx, storeReadPolicy, l.config.Heads.Read)
 	return headResult{head: head, err: err}
 }
 
