Permits: a group that moves to an instance has its permit at once

Change: permits of the groups of a new configuration start at the newest confirmation of the head row, as if the groups had been known then. In the search over orders of events the opposite (from the adoption) breaks an invariant; with the rule all schedules keep them.

--- a/pkg/coordination/hedge/hedge_test.go
+++ b/pkg/coordination/hedge/hedge_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-		"sync/atomic"
+	"sync/atomic"
 	"testing"
 	"time"
 
--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -164,6 +164,9 @@
 	// PermitFromAnswer starts a permit's lifetime at the answer to the read,
 	// not at its start.
 	PermitFromAnswer bool
+	// PermitFromBundle starts the permits of the groups of a configuration when
+	// it is adopted, not at the newest confirmation of the head row.
+	PermitFromBundle bool
 	// AcceptOldHead accepts any head row that arrives, also an older one.
 	AcceptOldHead bool
 	// ForgetStopped renews a permit for a generation that this instance has
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -233,7 +233,9 @@
 
 // bundleAdopted applies the groups of a new configuration. The permits of
 // groups that it no longer names are dropped. What was known of the upstreams of
-// a group that it did not name before is out of date.
+// a group that it did not name before is out of date. Permits for such a group
+// start at the newest confirmation of the head row: an instance learns of its
+// groups in the moment in which it registers, and the next read may be far.
 func (m *Machine) bundleAdopted(event BundleAdopted) {
 	old := m.groups
 	groups := make([]*group, 0, len(event.Groups))
@@ -248,8 +250,16 @@
 	sortGroups(groups)
 	m.groups = groups
 	dropPermits(old, groups)
-	if m.head != nil {
-		m.applyHead()
+	if m.head == nil {
+		return
+	}
+	m.applyHead()
+	confirmedAt := m.headConfirmedAt()
+	if m.cfg.Rules.PermitFromBundle {
+		confirmedAt = m.now
+	}
+	if confirmedAt > 0 {
+		m.renewPermits(confirmedAt)
 	}
 }
 
--- a/pkg/state/failover/registration_test.go
+++ b/pkg/state/failover/registration_test.go
@@ -176,3 +176,57 @@
 		}
 	})
 })
+
+// Guards against the loss of up to a whole read interval after a start: an
+// instance is told of the groups that it serves once it has registered, so that
+// neither the read before nor the write itself renews their permits.
+var _ = Describe("an instance that learns of its groups after its registration", func() {
+	const (
+		startedAt    = 5 * time.Millisecond
+		readAt       = 10 * time.Millisecond
+		registeredAt = 20 * time.Millisecond
+		adoptedAt    = 21 * time.Millisecond
+	)
+	self := startMember(0, "now")
+	groups := failover.BundleAdopted{Groups: []failover.GroupSpec{{ID: "g", Servers: []model.InstanceID{self.ID}}}}
+
+	// registered returns a machine that has registered by a write at readAt.
+	registered := func() *failover.Machine {
+		machine := failover.New(failover.Config{Self: self, TickInterval: startTick, MaxMembers: 12})
+		machine.Handle(startedAt, failover.Tick{})
+		head := &model.Head{Version: 4, MembersVersion: 2, Groups: []model.GroupHead{{ID: "g", Generation: 3, Primary: "u"}}}
+		var write *failover.WriteHead
+		for _, action := range machine.Handle(readAt, failover.HeadRead{StartedAt: startedAt, Head: head}) {
+			if a, is := action.(failover.WriteHead); is {
+				write = &a
+			}
+		}
+		Expect(write).NotTo(BeNil())
+		written := write.Head.Clone()
+		written.Version = 5
+		machine.Handle(registeredAt, failover.HeadWritten{Op: write.Op, Outcome: failover.WriteApplied, Head: written})
+		return machine
+	}
+
+	It("holds their permits at once, from the start of the write", func() {
+		machine := registered()
+		machine.Handle(adoptedAt, groups)
+		view := machine.View()
+		state, known := view.Group("g")
+		Expect(known).To(BeTrue())
+		Expect(state.PermitUntil).To(Equal(readAt + 3*time.Second))
+	})
+
+	It("holds none after it has learned of a newer row that is not confirmed", func() {
+		machine := registered()
+		newer := &model.Head{
+			Version: 6, MembersVersion: 2, Members: []model.Member{self},
+			Groups: []model.GroupHead{{ID: "g", Generation: 4, Primary: "v"}},
+		}
+		machine.Handle(registeredAt, failover.PeerReceived{Message: failover.HeadSent{Head: newer}})
+		machine.Handle(adoptedAt, groups)
+		view := machine.View()
+		state, _ := view.Group("g")
+		Expect(state.PermitUntil).To(BeZero())
+	})
+})
--- a/pkg/state/failover/search/search_test.go
+++ b/pkg/state/failover/search/search_test.go
@@ -122,6 +122,7 @@
 		Entry("require the promises of all members", failover.Rules{PromiseByMajority: true}, partition, partition, cutNode, killPrimary),
 		Entry("promise nothing for another head row", failover.Rules{PromiseOnNewerHead: true}, cutNode, killPrimary),
 		Entry("complete by waiting only when established", failover.Rules{EstablishedAtOnce: true}, partition),
+		Entry("start the permits of a group that moves at the newest confirmation", failover.Rules{PermitFromBundle: true}, moveGroup, moveGroup, cutNode, partition, cutPrimary),
 		Entry("wait for members that served the group before", failover.Rules{ConfirmByServers: true}, moveGroup, moveGroup, partition, cutPrimary),
 		Entry("remove evicted members after their permits expire", failover.Rules{RemoveAtOnce: true}, unlistNode),
 	)
