Dispatch: reads whose replicas lag take all free slots of the primary

Traced: while replicas lag, reads left one slot of the primary free. Change: such reads take the slots that are free by the count of all servers, and no place in the primary's own queue.

--- a/pkg/state/dispatch/primaryreads.go
+++ b/pkg/state/dispatch/primaryreads.go
@@ -8,7 +8,7 @@
 
 const (
 	// primaryDemandWindow is the time since the last unit that needs the primary
-	// during which reads leave a slot of it free.
+	// during which reads stay out of its queue.
 	primaryDemandWindow = time.Second
 	// batchPriority is the priority from which on reads go to the primary only if
 	// no replica with room is fresh enough.
@@ -26,21 +26,22 @@
 
 // primaryReadLimit returns the number of statements that this instance may have
 // at the primary when a read whose replicas lag is the last of them. While units
-// that need the primary come in, such reads leave one slot free for them:
-// otherwise all reads would move to the primary when its replicas fall behind.
-// If the load of the group's other servers is known, the slot is left free by all
-// of them together. Each server may have at least one such read at a primary with
-// several slots, as the reads of the others could keep it out for good.
+// that need the primary come in, such reads take its free slots only, and not the
+// places in its queue: otherwise all reads would move there when their replicas
+// fall behind, and the units that need it would wait for several of them instead of
+// for one. If the load of the group's other servers is known, the slots are counted
+// over all servers. Each server may have at least one such read at the primary, as
+// the reads of the others could keep it out for good.
 func (g *Group) primaryReadLimit(now time.Duration, primary *upstream) int {
+	limit := primary.maxOutstanding()
 	if !g.primaryIsWanted(now) {
-		return primary.maxOutstanding()
+		return limit
 	}
-	free := max(1, primary.spec.Slots) - 1
-	limit := min(primary.maxOutstanding()-1, free)
+	limit = min(limit, primary.spec.Slots)
 	if primary.othersKnown {
-		limit = min(limit, free-primary.othersOutstanding)
+		limit = min(limit, primary.spec.Slots-primary.othersOutstanding)
 	}
-	return max(limit, min(1, free))
+	return max(limit, 1)
 }
 
 // primaryTakesLagging reports whether the primary has room for a read of the
