Start: instances read the members within a tenth of a second

They wait for a peer that knows the members before they read the store, and no peer does. Change: the first read comes after a sixth of the lead of the more suitable instances, 0.1 s at most. The lead in joining is as before.

--- a/pkg/state/serving/join.go
+++ b/pkg/state/serving/join.go
@@ -23,8 +23,9 @@
 	// least suitable ones when all start at once, and when members are missing.
 	suitabilityLead = 600 * time.Millisecond
 	// firstReadFraction is the part of the lead that passes before the first read
-	// of the members. The rest passes before the instance joins.
-	firstReadFraction = 2
+	// of the members. The rest passes before the instance joins. After a loss of all
+	// instances no peer knows the members, so that callers wait for this read.
+	firstReadFraction = 6
 	// urgentDelaySpread spreads the instances that join while groups may have no
 	// server.
 	urgentDelaySpread = 300 * time.Millisecond
--- a/pkg/state/serving/serving_test.go
+++ b/pkg/state/serving/serving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -215,6 +216,14 @@
 		Expect(serving.NewJoinPolicy("a", serving.Machine{}).MaxMembers).To(Equal(serving.NewJoinPolicy("a", large).MaxMembers))
 	})
 
+	// Guards against a start of all instances in which most callers wait for 0.3 s,
+	// as the instances that are to become observers read nothing before.
+	It("lets the weakest instance read the members within 100 ms of its start", func() {
+		weakest := serving.NewJoinPolicy("a", serving.Machine{Cores: 0.001, LinkMbps: 0.1})
+		Expect(weakest.FirstReadDelay).To(BeNumerically("<=", 100*time.Millisecond))
+		Expect(weakest.UrgentJoinDelay).To(BeNumerically(">", 5*weakest.FirstReadDelay))
+	})
+
 	It("spreads the delays of equal instances", func() {
 		delays := map[any]bool{}
 		for i := range 20 {
