Forwarding: a breaker for each server and group; away without a permit

Change: package breaker. A refusal or silence opens the state of the server and the group; then single units are let through as trials after 50, 100 and each 200 ms, and an answer or another set of servers wakes the units that wait.

Cause: members on the side of a cut without the store called themselves away at 7.2 to 7.6 s, 2 s after their permits had ended at 5.4 s, since the store counts as reachable for 5 s. Change: a member is connected while it holds a permit or the head row was confirmed within a permit's lifetime. Metrics of the confirmation's age, of reads of the head row by source, and of forwarding attempts.

--- a/pkg/coordination/region/headsources.go
+++ b/pkg/coordination/region/headsources.go
@@ -9,6 +9,7 @@
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/members"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
 )
 
 // A read of the head row goes to the reader first. If that is cut off from this
@@ -110,9 +111,28 @@
 // answered.
 func (l *Loop) readFrom(ctx context.Context, source model.InstanceID, query StateQuery) bool {
 	started := l.now()
-	if source != l.config.Self.ID {
-		return l.queryReader(ctx, source, query, started)
+	if source == l.config.Self.ID {
+		answered := l.readFromStore(ctx, query, started)
+		countHeadRead("store", answered)
+		return answered
 	}
+	answered := l.queryReader(ctx, source, query, started)
+	countHeadRead("member", answered)
+	return answered
+}
+
+// countHeadRead counts a read of the head row from a source.
+func countHeadRead(source string, answered bool) {
+	outcome := "failed"
+	if answered {
+		outcome = "answered"
+	}
+	telemetry.HeadReads.With(source, outcome).Inc()
+}
+
+// readFromStore reads the head row from the store, and reports whether that has
+// answered.
+func (l *Loop) readFromStore(ctx context.Context, query StateQuery, started time.Duration) bool {
 	read, answered := l.readHeadShared(ctx, query.Urgent)
 	if !answered || read.err != nil {
 		return false
--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -83,7 +83,7 @@
 		Number:  530,
 		Name:    "instance away",
 		Level:   slog.LevelWarn,
-		Meaning: "This instance is cut off, that is, cannot reach the store and holds no permit, or no longer is. While it is, callers are moved to other instances.",
+		Meaning: "This instance is cut off, that is, holds no permit and cannot confirm the head row, or no longer is. While it is, callers are moved to other instances.",
 		Action:  "If it lasts: check the machine's network.",
 	})
 	// ReaderFailed is event 531.
@@ -212,6 +212,21 @@
 		Meaning: "A load that a peer reported cannot be: an unknown group or upstream, or an impossible count. It is ignored. At most one line a second.",
 		Action:  "If it lasts: look at whether the instances run the same version.",
 	})
+	// ServerRefused is event 555.
+	ServerRefused = define(Event{
+		Number:  555,
+		Name:    "server refuses a group",
+		Level:   slog.LevelInfo,
+		Meaning: "A server did not take a unit of the group, which has not run: the reason. Until it takes one again, units go to it only as trials, one at a time.",
+		Action:  "Look for the cause in the log of the server: events 306, 510 or 537.",
+	})
+	// ServerAccepted is event 556.
+	ServerAccepted = define(Event{
+		Number:  556,
+		Name:    "server takes a group again",
+		Level:   slog.LevelInfo,
+		Meaning: "A server that had refused the units of the group has taken one.",
+	})
 	// AcceptFailed is event 144.
 	AcceptFailed = define(Event{
 		Number:  144,
--- a/pkg/instance/hostedready.go
+++ b/pkg/instance/hostedready.go
@@ -58,7 +58,7 @@
 }
 
 // watchConnectivity makes callers move to other instances while this one is cut
-// off, that is, neither holds a permit nor gets answers from the store.
+// off.
 func (h *Hosted) watchConnectivity(ctx context.Context) {
 	ticker := time.NewTicker(connectivityInterval)
 	defer ticker.Stop()
@@ -70,9 +70,13 @@
 		case <-ticker.C:
 		}
 		now := h.clock.Now()
-		if h.isConnected(now) {
+		snapshot := h.loop.Snapshot()
+		if connected(snapshot, now) {
 			lastConnected = now
 		}
+		if confirmedAt := snapshot.View.HeadConfirmedAt; confirmedAt > 0 {
+			telemetry.HeadConfirmationAge.With().Set((now - confirmedAt).Seconds())
+		}
 		cutOff := h.wasReady.isSet() && now-lastConnected > cutOffAfter
 		if cutOff != h.cutOff.isSet() {
 			h.cutOff.change(cutOff)
@@ -82,22 +86,3 @@
 		lastConfirmed = h.updateConfirmed(ctx, now, lastConfirmed)
 	}
 }
-
-// isConnected reports whether the store answers or a permit is held or, for an
-// observer, whether a member answers.
-func (h *Hosted) isConnected(now time.Duration) bool {
-	snapshot := h.loop.Snapshot()
-	view := &snapshot.View
-	if view.Observer {
-		return now-snapshot.MembersAnsweredAt <= membersAnswerAge
-	}
-	if view.PlatformReachable {
-		return true
-	}
-	for _, group := range view.Groups {
-		if now < group.PermitUntil {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -9,6 +9,7 @@
 	Reads             = counter("gypsumdock_reads_total", "Read-only units of work by target: primary or replica.", "group", "target")
 	RequestSeconds    = histogram("gypsumdock_request_seconds", "Time from a unit's arrival to its answer.", "group")
 	Forwarded         = counter("gypsumdock_forwarded_total", "Statements forwarded to a server of the group, by outcome: answered, not_run or may_have_run.", "group", "outcome")
+	ForwardAttempts   = counter("gypsumdock_forward_attempts_total", "Attempts to send the first statement of a unit of work to a server of its group.", "group")
 	AccessRefused     = counter("gypsumdock_access_refused_total", "Sessions and statements not run by the access key of their client account, by reason.", "reason")
 	Retries           = counter("gypsumdock_retries_total", "Units of work that the proxy retried after an outcome of not_run.", "group")
 )
@@ -79,6 +80,8 @@
 var (
 	ConfigurationRevision = gauge("gypsumdock_configuration_revision", "Revision of the active configuration.")
 	ConfirmationAge       = gauge("gypsumdock_confirmation_age_seconds", "Time since the active configuration was known to be the newest, if it has client accounts.")
+	HeadConfirmationAge   = gauge("gypsumdock_head_confirmation_age_seconds", "Time since the head row was last known to be the newest. Permits end when it exceeds their lifetime.")
+	HeadReads             = counter("gypsumdock_head_reads_total", "Reads of the head row, by source: store or member, and by outcome: answered or failed.", "source", "outcome")
 	PlatformCalls         = counter("gypsumdock_platform_calls_total", "Calls to the platform, by operation (read or write), mechanism (first part of the key) and result (ok or failed).", "operation", "mechanism", "result")
 	PlatformSeconds       = histogram("gypsumdock_platform_seconds", "Time that a call to the platform took.", "operation")
 	EventsLogged          = counter("gypsumdock_events_total", "Events logged, by number; see EVENTS.md.", "event")
--- a/pkg/transport/textforward/forwarder.go
+++ b/pkg/transport/textforward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
+	"gypsumdock/pkg/state/breaker"
 	"gypsumdock/pkg/state/model"
 )
 
@@ -63,9 +65,15 @@
 	startedAt time.Time
 	heardAt   atomic.Pointer[time.Time]
 	balancer  *balancer
-
-	mu    sync.Mutex
-	peers map[model.InstanceID]*peer
+	// refusedLog and acceptedLog log changes of breaker.
+	refusedLog  *events.Throttle
+	acceptedLog *events.Throttle
+
+	mu      sync.Mutex
+	peers   map[model.InstanceID]*peer
+	breaker *breaker.Breaker
+	// news is closed, and replaced, when a unit that waits may find a server.
+	news chan struct{}
 }
 
 // peer is what is known of one server.
@@ -82,14 +90,30 @@
 
 // New returns a forwarder. SetNode must be called before its first use.
 func New(logger *slog.Logger) *Forwarder {
-	return &Forwarder{logger: logger, startedAt: time.Now(), balancer: newBalancer(logger), peers: make(map[model.InstanceID]*peer)}
+	return &Forwarder{
+		logger: logger, startedAt: time.Now(), balancer: newBalancer(logger), peers: make(map[model.InstanceID]*peer),
+		breaker: breaker.New(), news: make(chan struct{}),
+		refusedLog:  events.NewThrottle(events.ServerRefused, refusalLogInterval),
+		acceptedLog: events.NewThrottle(events.ServerAccepted, refusalLogInterval),
+	}
 }
 
 // SetNode sets the mesh.
 func (f *Forwarder) SetNode(node Node) { f.node = node }
 
-// SetOrders replaces the servers of the groups.
-func (f *Forwarder) SetOrders(orders Orders) { f.orders.Store(&orders) }
+// SetOrders replaces the servers of the groups. Those of a group that has others
+// than before are all tried again.
+func (f *Forwarder) SetOrders(orders Orders) {
+	before := f.orders.Swap(&orders)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for group, servers := range orders {
+		if before == nil || !slices.Equal(servers, (*before)[group]) {
+			f.breaker.Reset(group)
+		}
+	}
+	f.announce()
+}
 
 // Servers returns the servers of a group in the order in which they are to be
 // used for a unit of the caller. Those that failed recently come last.
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -7,6 +7,7 @@
 	"gypsumdock/pkg/protocol/statement"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/telemetry"
 	"gypsumdock/pkg/transport/textforward"
 )
 
@@ -14,13 +15,9 @@
 // then an instance that restarts or takes over serves the group.
 const noServerRetryAfter = 500 * time.Millisecond
 
-const (
-	// serverWait is how long a unit waits for a server to answer if none does but
-	// one is expected soon. serverRetryInterval is the time between two rounds
-	// over the servers.
-	serverWait          = 600 * time.Millisecond
-	serverRetryInterval = 50 * time.Millisecond
-)
+// serverWait is how long a unit waits for a server to take it if none does but one
+// is expected soon.
+const serverWait = 600 * time.Millisecond
 
 // forwarding is a caller's unit of work that a server of its group executes.
 type forwarding struct {
@@ -115,17 +112,19 @@
 	return need
 }
 
-// begin sends the first statement of a unit to the servers of its group. If a
-// server is expected soon it does so in rounds, until one answers or serverWait
-// has passed.
+// begin sends the first statement of a unit to the servers of its group. If none
+// takes it but one is expected soon, the unit waits for news of the servers, until
+// serverWait has passed.
 func (f *forwarding) begin(stmt boundStatement, open *meshpb.UnitOpen, mayRepeat bool) (*textforward.Stream, *meshpb.UnitReply, bool) {
 	waitUntil := time.Now().Add(serverWait)
 	for {
 		stream, reply, sent := f.beginOnce(stmt, open, mayRepeat)
-		if sent || f.isRefusalFinal() || f.isPastDeadline() || f.servesItself() || time.Now().After(waitUntil) || !f.forwarder().ExpectsServer() {
+		if sent || f.isRefusalFinal() || f.isPastDeadline() || f.servesItself() || !f.forwarder().ExpectsServer() {
 			return stream, reply, sent
 		}
-		sleep(f.session.server.ctx, serverRetryInterval)
+		if !f.forwarder().AwaitServer(f.session.server.ctx, f.route.Group, f.servers(), waitUntil) {
+			return nil, nil, false
+		}
 	}
 }
 
@@ -139,12 +138,12 @@
 		if f.isPastDeadline() {
 			break
 		}
-		if server == f.session.server.config.Self {
+		if server == f.session.server.config.Self || !f.forwarder().Allow(server, f.route.Group) {
 			continue
 		}
 		f.server = server
-		f.attempts++
 		if !mayRepeat && !f.forwarder().IsAlive(server) {
+			f.forwarder().Refused(server, f.route.Group, "no answer to a ping")
 			continue
 		}
 		stream, err := f.forwarder().Open(server)
@@ -152,8 +151,11 @@
 			f.recorder().forwardRetried(f, stmt.request, err.Error())
 			continue
 		}
+		f.attempts++
+		telemetry.ForwardAttempts.With(string(f.route.Group)).Inc()
 		reply, err := stream.Exchange(f.request(stmt, open), f.deadline, mayRepeat)
 		if err == nil && reply.GetRefusal() == meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED {
+			f.forwarder().Answered(server, f.route.Group)
 			return stream, reply, true
 		}
 		stream.Close()
@@ -169,10 +171,14 @@
 	return nil, nil, false
 }
 
-// failure returns the cause for the log of an attempt that failed, and avoids a
-// server that refused the unit.
+// failure returns the cause for the log of an attempt that failed, and records that
+// the server refused the unit. One that lacks the permit of this group, or does not
+// serve it, may well serve others.
 func (f *forwarding) failure(err error, reply *meshpb.UnitReply) string {
 	if err != nil {
+		if !f.isPastDeadline() {
+			f.forwarder().Refused(f.server, f.route.Group, err.Error())
+		}
 		return err.Error()
 	}
 	switch reply.GetRefusal() {
@@ -182,7 +188,10 @@
 		// A server that has not got the newest configuration yet is able to serve
 		// other callers, so that it is not avoided.
 		f.unconfirmed = true
+	case meshpb.UnitRefusal_UNIT_REFUSAL_NO_PERMIT, meshpb.UnitRefusal_UNIT_REFUSAL_NOT_SERVED:
+		f.forwarder().Refused(f.server, f.route.Group, reply.GetRefusal().String())
 	default:
+		f.forwarder().Refused(f.server, f.route.Group, reply.GetRefusal().String())
 		f.forwarder().Avoid(f.server, reply.GetRefusal().String())
 	}
 	return reply.GetRefusal().String()
