Observers: query again soon while a usable member is not connected

Change: the interval of its queries is 0.25 s while a member that seems able to serve has no session with it.

--- a/pkg/coordination/region/export_test.go
+++ b/pkg/coordination/region/export_test.go
@@ -45,3 +45,12 @@
 	ProberCount      = proberCount
 	ProbeIntervalFor = probeIntervalFor
 )
+
+// ObserveIntervalFor exports observeIntervalFor, and ObserveInterval and
+// QuickObserveInterval what it returns, to the tests.
+var ObserveIntervalFor = observeIntervalFor
+
+const (
+	ObserveInterval      = observeInterval
+	QuickObserveInterval = quickObserveInterval
+)
--- a/pkg/coordination/region/observer.go
+++ b/pkg/coordination/region/observer.go
@@ -20,7 +20,8 @@
 const (
 	observeInterval = time.Second
 	observeTimeout  = 500 * time.Millisecond
-	// quickObserveInterval applies while too few members are able to serve.
+	// quickObserveInterval applies while too few members are able to serve, or one
+	// of those that seem to be cannot be reached.
 	quickObserveInterval = 250 * time.Millisecond
 	// headRefreshInterval is the time between two reads of the head row by an
 	// observer that can query no member.
@@ -33,11 +34,7 @@
 // observe queries a member for the state of the region, if a query is due.
 func (l *Loop) observe(now time.Duration) {
 	l.trackObserver(now)
-	interval := observeInterval
-	if l.reportedUsable >= 0 && l.reportedUsable < l.config.Failover.MinMembers {
-		interval = quickObserveInterval
-	}
-	if !l.view.Observer || l.observing || now-l.observedAt < interval {
+	if !l.view.Observer || l.observing || now-l.observedAt < l.observerInterval() {
 		return
 	}
 	member, found := l.memberToQuery(now)
@@ -58,6 +55,28 @@
 	})
 }
 
+// observerInterval returns the time between two queries of a member.
+func (l *Loop) observerInterval() time.Duration {
+	if l.reportedUsable >= 0 && l.reportedUsable < l.config.Failover.MinMembers {
+		return quickObserveInterval
+	}
+	usable, _ := l.membersByUse()
+	return observeIntervalFor(usable, l.config.Peers.Peers())
+}
+
+// observeIntervalFor returns the time between two queries of an observer that has
+// sessions with the connected peers. It answers the start of all instances: a usable
+// member without a session may be an earlier process of its machine, whose successor
+// registers in this moment.
+func observeIntervalFor(usable []model.Member, connected []model.InstanceID) time.Duration {
+	for _, member := range usable {
+		if !slices.Contains(connected, member.ID) {
+			return quickObserveInterval
+		}
+	}
+	return observeInterval
+}
+
 // trackObserver records since when this instance has been no member, and tells
 // the failover machine how many members are able to serve.
 func (l *Loop) trackObserver(now time.Duration) {
--- a/pkg/coordination/region/observer_test.go
+++ b/pkg/coordination/region/observer_test.go
@@ -128,6 +128,19 @@
 	})
 })
 
+// After a power loss of all, observers sent their callers' units to processes that
+// had ended, until the next query a second later told them of the new ones.
+var _ = DescribeTable("an observer queries a member",
+	func(usable, connected []model.InstanceID, interval time.Duration) {
+		Expect(region.ObserveIntervalFor(rowWith(usable...).Members, connected)).To(Equal(interval))
+	},
+	Entry("seldom while all usable members are connected",
+		[]model.InstanceID{"m1", "m2"}, []model.InstanceID{"m1", "m2", "m3"}, region.ObserveInterval),
+	Entry("soon again if one of them is not",
+		[]model.InstanceID{"m1", "ended"}, []model.InstanceID{"m1"}, region.QuickObserveInterval),
+	Entry("seldom if there is none", nil, []model.InstanceID{"m1"}, region.ObserveInterval),
+)
+
 var _ = Describe("a member whose reader does not answer", func() {
 	// The reader was cut off, and the others waited for it until their permits had
 	// expired, although the store answered them.
