--- a/pkg/state/breaker/breaker.go
+++ b/pkg/state/breaker/breaker.go
@@ -3,8 +3,8 @@
 // servers have lost their permits, and would otherwise ask each of them again and
 // again without news.
 //
-// The state of a server and a group is closed while units are sent, and open after
-// a refusal. An open one lets a single unit through as a trial from time to time, at
+// The state of a Key is closed while units are sent, and open after a refusal. An
+// open one lets a single unit through as a trial from time to time, at
 // growing intervals; an answer closes it for all.
 //
 // The package is deterministic: the time is an argument.
@@ -25,10 +25,25 @@
 	idleTimeout = 10 * time.Second
 )
 
-// Key names a server of a group.
+// Class tells units of a group apart that a server may refuse separately: one without
+// a permit still serves reads that its replicas can answer.
+type Class uint8
+
+// The values of Class.
+const (
+	// NeedsPrimary is the class of units that only the primary can run.
+	NeedsPrimary Class = iota
+	// ReadsOwnWrites is the class of reads that must show their session's writes.
+	ReadsOwnWrites
+	// ReadsStale is the class of reads that may be of a stated age.
+	ReadsStale
+)
+
+// Key names a server of a group, and a class of units.
 type Key struct {
 	Server model.InstanceID
 	Group  model.GroupID
+	Class  Class
 }
 
 // Breaker holds the open states. It is not safe for concurrent use.
@@ -100,12 +115,13 @@
 	}
 }
 
-// NextTrial returns the earliest time at which one of the servers lets a unit
-// through. It returns false if there are no servers.
-func (b *Breaker) NextTrial(now time.Duration, group model.GroupID, servers []model.InstanceID) (at time.Duration, found bool) {
+// NextTrial returns the earliest time at which one of the servers lets a unit of the
+// group and class of key through. It returns false if there are no servers.
+func (b *Breaker) NextTrial(now time.Duration, key Key, servers []model.InstanceID) (at time.Duration, found bool) {
 	for _, server := range servers {
+		key.Server = server
 		trialAt := now
-		if known := b.open[Key{Server: server, Group: group}]; known != nil {
+		if known := b.open[key]; known != nil {
 			trialAt = known.trialAt
 		}
 		if !found || trialAt < at {
--- a/pkg/state/breaker/breaker_test.go
+++ b/pkg/state/breaker/breaker_test.go
@@ -69,21 +69,24 @@
 		Expect(b.Allow(50*millisecond, key)).To(BeTrue())
 	})
 
-	// A group whose primary is well must not suffer from one without a permit.
-	It("keeps the groups and the servers apart", func() {
+	// A group whose primary is well must not suffer from one without a permit, nor
+	// reads of a replica from writes.
+	It("keeps the groups, the servers and the classes apart", func() {
 		b.Refused(0, key)
+		Expect(b.Allow(0, breaker.Key{Server: "s1", Group: "g", Class: breaker.ReadsStale})).To(BeTrue())
+		Expect(b.Allow(0, breaker.Key{Server: "s1", Group: "g", Class: breaker.ReadsOwnWrites})).To(BeTrue())
 		Expect(b.Allow(0, breaker.Key{Server: "s1", Group: "h"})).To(BeTrue())
 		Expect(b.Allow(0, breaker.Key{Server: "s2", Group: "g"})).To(BeTrue())
 	})
 
 	It("tells when the first server may be tried", func() {
-		_, found := b.NextTrial(0, "g", nil)
+		_, found := b.NextTrial(0, key, nil)
 		Expect(found).To(BeFalse())
 		b.Refused(0, key)
-		at, found := b.NextTrial(10*millisecond, "g", []model.InstanceID{"s1"})
+		at, found := b.NextTrial(10*millisecond, key, []model.InstanceID{"s1"})
 		Expect(found).To(BeTrue())
 		Expect(at).To(Equal(50 * millisecond))
-		at, _ = b.NextTrial(10*millisecond, "g", []model.InstanceID{"s1", "s2"})
+		at, _ = b.NextTrial(10*millisecond, key, []model.InstanceID{"s1", "s2"})
 		Expect(at).To(Equal(10 * millisecond))
 		b.Reset("g")
 		Expect(b.Allow(10*millisecond, key)).To(BeTrue())
--- a/pkg/transport/textforward/refusals.go
+++ b/pkg/transport/textforward/refusals.go
@@ -17,49 +17,47 @@
 // servers again. Those that cannot be reached are found so at no cost.
 const minServerWait = 50 * time.Millisecond
 
-// Allow reports whether a unit of the group may be sent to a server: it has not
-// refused the group's units lately, or the unit is the trial that finds out whether
-// it still does. The result of a unit that was let through must be told to Refused
-// or Answered.
-func (f *Forwarder) Allow(server model.InstanceID, group model.GroupID) bool {
+// Allow reports whether a unit may be sent to a server: it has not refused such units
+// lately, or the unit is the trial that finds out whether it still does.
+func (f *Forwarder) Allow(key breaker.Key) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.breaker.Allow(f.balancer.now(), breaker.Key{Server: server, Group: group})
+	return f.breaker.Allow(f.balancer.now(), key)
 }
 
-// Refused records that a server has refused a unit of the group, or has not answered.
-// Further units go to it only as trials.
-func (f *Forwarder) Refused(server model.InstanceID, group model.GroupID, reason string) {
+// Refused records that a server has refused a unit, or has not answered. Further units
+// like it go to the server only as trials.
+func (f *Forwarder) Refused(key breaker.Key, reason string) {
 	f.mu.Lock()
-	opened := f.breaker.Refused(f.balancer.now(), breaker.Key{Server: server, Group: group})
+	opened := f.breaker.Refused(f.balancer.now(), key)
 	f.mu.Unlock()
 	if opened {
 		f.refusedLog.Log(context.Background(), f.logger,
-			slog.String("server", string(server)), slog.String("group", string(group)), slog.String("reason", reason))
+			slog.String("server", string(key.Server)), slog.String("group", string(key.Group)), slog.String("reason", reason))
 	}
 }
 
-// Answered records that a server has taken a unit of the group.
-func (f *Forwarder) Answered(server model.InstanceID, group model.GroupID) {
+// Answered records that a server has taken a unit.
+func (f *Forwarder) Answered(key breaker.Key) {
 	f.mu.Lock()
-	closed := f.breaker.Answered(breaker.Key{Server: server, Group: group})
+	closed := f.breaker.Answered(key)
 	if closed {
 		f.announce()
 	}
 	f.mu.Unlock()
 	if closed {
-		f.acceptedLog.Log(context.Background(), f.logger, slog.String("server", string(server)), slog.String("group", string(group)))
+		f.acceptedLog.Log(context.Background(), f.logger, slog.String("server", string(key.Server)), slog.String("group", string(key.Group)))
 	}
 }
 
-// AwaitServer waits until a unit of the group may be sent to one of the servers:
-// another one serves the group, one has taken a unit again, or a trial is due. It
-// returns false if that does not happen before the given time, or if ctx ends.
-func (f *Forwarder) AwaitServer(ctx context.Context, group model.GroupID, servers []model.InstanceID, until time.Time) bool {
+// AwaitServer waits until a unit of the group and class of key may be sent to one of
+// the servers: another one serves the group, one has taken a unit again, or a trial is
+// due. It returns false if that does not happen before the given time, or if ctx ends.
+func (f *Forwarder) AwaitServer(ctx context.Context, key breaker.Key, servers []model.InstanceID, until time.Time) bool {
 	f.mu.Lock()
 	news := f.news
 	now := f.balancer.now()
-	trialAt, found := f.breaker.NextTrial(now, group, servers)
+	trialAt, found := f.breaker.NextTrial(now, key, servers)
 	f.mu.Unlock()
 	wait := time.Until(until)
 	if found {
--- a/pkg/transport/textfront/forward.go
+++ b/pkg/transport/textfront/forward.go
@@ -5,6 +5,7 @@
 
 	"gypsumdock/pkg/protocol/meshpb"
 	"gypsumdock/pkg/protocol/statement"
+	"gypsumdock/pkg/state/breaker"
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/model"
 	"gypsumdock/pkg/telemetry"
@@ -26,6 +27,9 @@
 	// server is the instance that was asked last.
 	server   model.InstanceID
 	attempts int
+	// class is what distinguishes the unit from others of its group that a server
+	// may refuse.
+	class breaker.Class
 	// denied is set if a server found the access key invalid, and unconfirmed if one
 	// could not tell whether it is valid.
 	denied      bool
@@ -116,18 +120,36 @@
 // takes it but one is expected soon, the unit waits for news of the servers, until
 // serverWait has passed.
 func (f *forwarding) begin(stmt boundStatement, open *meshpb.UnitOpen, mayRepeat bool) (*textforward.Stream, *meshpb.UnitReply, bool) {
+	f.class = unitClass(f.route, stmt, open)
 	waitUntil := time.Now().Add(serverWait)
 	for {
 		stream, reply, sent := f.beginOnce(stmt, open, mayRepeat)
 		if sent || f.isRefusalFinal() || f.isPastDeadline() || f.servesItself() || !f.forwarder().ExpectsServer() {
 			return stream, reply, sent
 		}
-		if !f.forwarder().AwaitServer(f.session.server.ctx, f.route.Group, f.servers(), waitUntil) {
+		if !f.forwarder().AwaitServer(f.session.server.ctx, f.breakerKey(""), f.servers(), waitUntil) {
 			return nil, nil, false
 		}
 	}
 }
 
+// unitClass returns the class of a unit that starts with the statement.
+func unitClass(route *catalog.Route, stmt boundStatement, open *meshpb.UnitOpen) breaker.Class {
+	switch {
+	case stmt.writes || route.Consistency == catalog.Strong || open.GetTransaction() && !open.GetReadOnly():
+		return breaker.NeedsPrimary
+	case route.Consistency == catalog.ReadYourWrites:
+		return breaker.ReadsOwnWrites
+	default:
+		return breaker.ReadsStale
+	}
+}
+
+// breakerKey names a server and the units that it may refuse as it refuses this one.
+func (f *forwarding) breakerKey(server model.InstanceID) breaker.Key {
+	return breaker.Key{Server: server, Group: f.route.Group, Class: f.class}
+}
+
 // beginOnce sends the first statement of a unit to the servers of its group in
 // turn, until one answers. mayRepeat is set if the statement can be sent again after
 // an answer was lost; otherwise a server must show that it is alive before the
@@ -138,12 +160,12 @@
 		if f.isPastDeadline() {
 			break
 		}
-		if server == f.session.server.config.Self || !f.forwarder().Allow(server, f.route.Group) {
+		if server == f.session.server.config.Self || !f.forwarder().Allow(f.breakerKey(server)) {
 			continue
 		}
 		f.server = server
 		if !mayRepeat && !f.forwarder().IsAlive(server) {
-			f.forwarder().Refused(server, f.route.Group, "no answer to a ping")
+			f.forwarder().Refused(f.breakerKey(server), "no answer to a ping")
 			continue
 		}
 		stream, err := f.forwarder().Open(server)
@@ -155,7 +177,7 @@
 		telemetry.ForwardAttempts.With(string(f.route.Group)).Inc()
 		reply, err := stream.Exchange(f.request(stmt, open), f.deadline, mayRepeat)
 		if err == nil && reply.GetRefusal() == meshpb.UnitRefusal_UNIT_REFUSAL_UNSPECIFIED {
-			f.forwarder().Answered(server, f.route.Group)
+			f.forwarder().Answered(f.breakerKey(server))
 			return stream, reply, true
 		}
 		stream.Close()
@@ -177,7 +199,7 @@
 func (f *forwarding) failure(err error, reply *meshpb.UnitReply) string {
 	if err != nil {
 		if !f.isPastDeadline() {
-			f.forwarder().Refused(f.server, f.route.Group, err.Error())
+			f.forwarder().Refused(f.breakerKey(f.server), err.Error())
 		}
 		return err.Error()
 	}
@@ -189,9 +211,9 @@
 		// other callers, so that it is not avoided.
 		f.unconfirmed = true
 	case meshpb.UnitRefusal_UNIT_REFUSAL_NO_PERMIT, meshpb.UnitRefusal_UNIT_REFUSAL_NOT_SERVED:
-		f.forwarder().Refused(f.server, f.route.Group, reply.GetRefusal().String())
+		f.forwarder().Refused(f.breakerKey(f.server), reply.GetRefusal().String())
 	default:
-		f.forwarder().Refused(f.server, f.route.Group, reply.GetRefusal().String())
+		f.forwarder().Refused(f.breakerKey(f.server), reply.GetRefusal().String())
 		f.forwarder().Avoid(f.server, reply.GetRefusal().String())
 	}
 	return reply.GetRefusal().String()
