--- a/pkg/coordination/region/loop_test.go
+++ b/pkg/coordination/region/loop_test.go
@@ -139,6 +139,23 @@
 func (idleTraffic) ProbeAnswered(model.GroupID, model.UpstreamID)      {}
 func (idleTraffic) WritesInFlight(model.GroupID, model.Generation) int { return 0 }
 
+// newLoopConfig returns the configuration of a loop without peers and statements.
+func newLoopConfig(configurations, databases region.Feed, heads region.HeadStore) region.Config {
+	return region.Config{
+		Self:           model.Member{ID: "i1", DataCentre: "z", Machine: "m1"},
+		Clock:          clock{time.Now()},
+		Heads:          heads,
+		Configurations: configurations,
+		Databases:      databases,
+		Decoder:        decoder{},
+		Upstreams:      upstreams{},
+		Promotion:      unavailable{},
+		Peers:          unavailable{},
+		Traffic:        idleTraffic{},
+		Logger:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
 type clock struct{ begun time.Time }
 
 func (c clock) Now() time.Duration { return time.Since(c.begun) + time.Millisecond }
@@ -152,19 +169,7 @@
 	BeforeEach(func() {
 		configurations, databases = &feed{}, &feed{}
 		var err error
-		loop, err = region.New(region.Config{
-			Self:           model.Member{ID: "i1", DataCentre: "z", Machine: "m1"},
-			Clock:          clock{time.Now()},
-			Heads:          &headStore{},
-			Configurations: configurations,
-			Databases:      databases,
-			Decoder:        decoder{},
-			Upstreams:      upstreams{},
-			Promotion:      unavailable{},
-			Peers:          unavailable{},
-			Traffic:        idleTraffic{},
-			Logger:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
+		loop, err = region.New(newLoopConfig(configurations, databases, &headStore{}))
 		Expect(err).NotTo(HaveOccurred())
 		loop.Start()
 		DeferCleanup(loop.Close)
--- a/pkg/coordination/region/silentstore_test.go
+++ b/pkg/coordination/region/silentstore_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -67,19 +65,8 @@
 		databases := silentFeed{feed: &feed{}, outage: silence}
 		configurations.put(region.Entry{Key: "config", Value: []byte("5")})
 		databases.put(region.Entry{Key: "a", Value: []byte("first")})
-		loop, err := region.New(region.Config{
-			Self:           model.Member{ID: "i1", DataCentre: "z", Machine: "m1"},
-			Clock:          clock{time.Now()},
-			Heads:          silentHeads{headStore: &headStore{}, outage: silence},
-			Configurations: configurations,
-			Databases:      databases,
-			Decoder:        decoder{},
-			Upstreams:      upstreams{},
-			Promotion:      unavailable{},
-			Peers:          unavailable{},
-			Traffic:        idleTraffic{},
-			Logger:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
+		heads := silentHeads{headStore: &headStore{}, outage: silence}
+		loop, err := region.New(newLoopConfig(configurations, databases, heads))
 		Expect(err).NotTo(HaveOccurred())
 		loop.Start()
 		DeferCleanup(loop.Close)
--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -197,7 +197,7 @@
 		return true
 	}
 	since := s.vacantSince
-	if m.activeMembers() >= m.cfg.MaxMembers {
+	if m.cfg.MaxMembers > 0 && m.activeMembers() >= m.cfg.MaxMembers {
 		// The members that are cut off may be about to return, for example after
 		// an outage of the table.
 		if !m.isPlatformReachable() {
--- a/pkg/state/failover/registration_test.go
+++ b/pkg/state/failover/registration_test.go
@@ -177,6 +177,15 @@
 	})
 })
 
+// Guards against an instance without a bound on the members that waits like one
+// which replaces members of a full row.
+var _ = It("an instance in a region without a bound registers with its first read", func() {
+	machine := failover.New(failover.Config{Self: startMember(0, "now"), TickInterval: startTick})
+	machine.Handle(time.Millisecond, failover.Tick{})
+	read := failover.HeadRead{StartedAt: time.Millisecond, Head: &model.Head{Version: 4, MembersVersion: 2}}
+	Expect(machine.Handle(2*time.Millisecond, read)).To(ContainElement(BeAssignableToTypeOf(failover.WriteHead{})))
+})
+
 // Guards against the loss of up to a whole read interval after a start: an
 // instance is told of the groups that it serves once it has registered, so that
 // neither the read before nor the write itself renews their permits.
