--- a/pkg/coordination/region/observer.go
+++ b/pkg/coordination/region/observer.go
@@ -67,7 +67,7 @@
 // observeIntervalFor returns the time between two queries of an observer that has
 // sessions with the connected peers. It answers the start of all instances: a usable
 // member without a session may be an earlier process of its machine, whose successor
-// registers in this moment.
+// is about to register.
 func observeIntervalFor(usable []model.Member, connected []model.InstanceID) time.Duration {
 	for _, member := range usable {
 		if !slices.Contains(connected, member.ID) {
--- a/pkg/state/breaker/breaker.go
+++ b/pkg/state/breaker/breaker.go
@@ -3,9 +3,9 @@
 // servers have lost their permits, and would otherwise ask each of them again and
 // again without news.
 //
-// The state of a Key is closed while units are sent, and open after a refusal. An
-// open one lets a single unit through as a trial from time to time, at
-// growing intervals; an answer closes it for all.
+// The state of a Key is closed while units are sent, and open after a refusal. An open
+// state lets a single unit through as a trial, at growing intervals; an answer closes
+// it for all units.
 //
 // The package is deterministic: the time is an argument.
 package breaker
@@ -51,7 +51,7 @@
 	open map[Key]*state
 }
 
-// state is the open state of a server and a group.
+// state is the open state of a Key.
 type state struct {
 	// trialAt is when the next trial may be sent.
 	trialAt time.Duration
--- a/pkg/state/failover/machine.go
+++ b/pkg/state/failover/machine.go
@@ -234,8 +234,8 @@
 // bundleAdopted applies the groups of a new configuration. The permits of
 // groups that it no longer names are dropped. What was known of the upstreams of
 // a group that it did not name before is out of date. Permits for such a group
-// start at the newest confirmation of the head row: an instance learns of its
-// groups in the moment in which it registers, and the next read may be far.
+// start at the newest confirmation of the head row: an instance learns which groups
+// it serves when it registers, and the next read is due only after ReadInterval.
 func (m *Machine) bundleAdopted(event BundleAdopted) {
 	old := m.groups
 	groups := make([]*group, 0, len(event.Groups))
--- a/pkg/state/serving/join.go
+++ b/pkg/state/serving/join.go
@@ -23,8 +23,8 @@
 	// least suitable ones when all start at once, and when members are missing.
 	suitabilityLead = 600 * time.Millisecond
 	// firstReadFraction is the part of the lead that passes before the first read
-	// of the members. The rest passes before the instance joins. After a loss of all
-	// instances no peer knows the members, so that callers wait for this read.
+	// of the members; the rest passes before the instance joins. Callers wait for
+	// this read after a loss of all instances, as no peer knows the members then.
 	firstReadFraction = 6
 	// urgentDelaySpread spreads the instances that join while groups may have no
 	// server.
