Sessions: a drain interrupts only the wait for a statement; away counts from ready

Of what can fail there, the code shows two faults: a drain set the read deadline of every session to the past, also of one that read its first line or the rest of a statement, which was closed without an answer; and the 0.7 s after which an instance counts as away were counted from the start of the process, not from when it was ready, so that one check could start a drain.

Change: textfront waits interruptibly (inputWait) only between messages, as pgfront does; awayTracker holds the rule for both conditions. A failed spec of testbench/hosted prints the logs of its instances, and its error again at the end.

--- a/pkg/instance/connectivity.go
+++ b/pkg/instance/connectivity.go
@@ -23,3 +23,20 @@
 	}
 	return view.HeadConfirmedAt > 0 && now < view.HeadConfirmedAt+permitLifetime
 }
+
+// awayTracker decides when callers are moved to other instances because of a
+// condition that has lasted. The time before an instance is ready does not count:
+// one that has just started serves before its first check has held.
+type awayTracker struct {
+	// heldAt is when the condition for serving held last.
+	heldAt time.Duration
+}
+
+// update takes in a check at now and reports whether the instance is away. serves is
+// the condition, and ready is set once the instance has been ready.
+func (t *awayTracker) update(now time.Duration, ready, serves bool) bool {
+	if serves || !ready {
+		t.heldAt = now
+	}
+	return now-t.heldAt > cutOffAfter
+}
--- a/pkg/instance/connectivity_test.go
+++ b/pkg/instance/connectivity_test.go
@@ -31,3 +31,22 @@
 	Entry("not as an observer that no member answers",
 		region.Snapshot{MembersAnsweredAt: 4 * time.Second, View: failover.View{Observer: true}}, 6*time.Second, false),
 )
+
+var _ = Describe("awayTracker", func() {
+	It("reports an instance away once its condition has not held for cutOffAfter", func() {
+		var tracker awayTracker
+		Expect(tracker.update(time.Minute, true, true)).To(BeFalse())
+		Expect(tracker.update(time.Minute+cutOffAfter, true, false)).To(BeFalse())
+		Expect(tracker.update(time.Minute+cutOffAfter+1, true, false)).To(BeTrue())
+		Expect(tracker.update(time.Minute+2*cutOffAfter, true, true)).To(BeFalse())
+	})
+
+	// Load: callers that come back to an instance which has just been ready for the
+	// first time, and whose first check fails.
+	It("does not count the time before an instance was ready", func() {
+		var tracker awayTracker
+		Expect(tracker.update(time.Minute, false, false)).To(BeFalse())
+		Expect(tracker.update(time.Minute+connectivityInterval, true, false)).To(BeFalse())
+		Expect(tracker.update(time.Minute+cutOffAfter+1, true, false)).To(BeTrue())
+	})
+})
--- a/pkg/instance/hostedconfirmed.go
+++ b/pkg/instance/hostedconfirmed.go
@@ -38,19 +38,15 @@
 }
 
 // updateConfirmed makes the instance not ready while its confirmation stays too
-// old. lastConfirmed is the last time at which it was not; the new one is
-// returned. Open sessions are kept: they are served by other instances, and if
-// the store is down no instance is better off.
-func (h *Hosted) updateConfirmed(ctx context.Context, now, lastConfirmed time.Duration) time.Duration {
+// old. Open sessions are kept: they are served by other instances, and if the store
+// is down no instance is better off.
+func (h *Hosted) updateConfirmed(ctx context.Context, now time.Duration, confirmation *awayTracker) {
 	snapshot := h.loop.Snapshot()
 	age := now - snapshot.ConfirmedAt
 	if snapshot.Catalog.Authenticates && snapshot.ConfirmedAt != 0 {
 		telemetry.ConfirmationAge.With().Set(age.Seconds())
 	}
-	if !h.isConfirmationTooOld(snapshot, now) {
-		lastConfirmed = now
-	}
-	unconfirmed := h.wasReady.isSet() && now-lastConfirmed > cutOffAfter
+	unconfirmed := confirmation.update(now, h.wasReady.isSet(), !h.isConfirmationTooOld(snapshot, now))
 	if unconfirmed != h.unconfirmed.isSet() {
 		h.unconfirmed.change(unconfirmed)
 		attrs := []slog.Attr{slog.Bool("unconfirmed", unconfirmed), slog.Uint64("configuration", uint64(snapshot.Catalog.Version))}
@@ -59,5 +55,4 @@
 		}
 		events.Log(ctx, h.logger, events.ConfirmationTooOld, attrs...)
 	}
-	return lastConfirmed
 }
--- a/pkg/instance/hostedready.go
+++ b/pkg/instance/hostedready.go
@@ -62,7 +62,7 @@
 func (h *Hosted) watchConnectivity(ctx context.Context) {
 	ticker := time.NewTicker(connectivityInterval)
 	defer ticker.Stop()
-	var lastConnected, lastConfirmed time.Duration
+	var connectivity, confirmation awayTracker
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,18 +71,15 @@
 		}
 		now := h.clock.Now()
 		snapshot := h.loop.Snapshot()
-		if connected(snapshot, now) {
-			lastConnected = now
-		}
 		if confirmedAt := snapshot.View.HeadConfirmedAt; confirmedAt > 0 {
 			telemetry.HeadConfirmationAge.With().Set((now - confirmedAt).Seconds())
 		}
-		cutOff := h.wasReady.isSet() && now-lastConnected > cutOffAfter
+		cutOff := connectivity.update(now, h.wasReady.isSet(), connected(snapshot, now))
 		if cutOff != h.cutOff.isSet() {
 			h.cutOff.change(cutOff)
-			events.Log(ctx, h.logger, events.InstanceAway, slog.Bool("away", cutOff), slog.Duration("since", now-lastConnected))
+			events.Log(ctx, h.logger, events.InstanceAway, slog.Bool("away", cutOff), slog.Duration("since", now-connectivity.heldAt))
 		}
 		h.front.SetDraining(cutOff)
-		lastConfirmed = h.updateConfirmed(ctx, now, lastConfirmed)
+		h.updateConfirmed(ctx, now, &confirmation)
 	}
 }
--- a/pkg/transport/textfront/drain_test.go
+++ b/pkg/transport/textfront/drain_test.go
@@ -1,11 +1,16 @@
 package textfront
 
 import (
+	"bufio"
+	"fmt"
 	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/state/catalog"
+	"gypsumdock/pkg/transport/lines"
 )
 
 // connPair returns both ends of a connection.
@@ -70,6 +75,65 @@
 		Eventually(done).Should(Receive(BeTrue()))
 	})
 
+	// Load: callers that connect, or whose statements arrive in parts, while a drain
+	// starts. Such sessions were closed without an answer.
+	Describe("that starts while a message is read", func() {
+		var (
+			f     *fixture
+			conn  net.Conn
+			reply *bufio.Reader
+		)
+
+		BeforeEach(func() {
+			f = newFixture(catalog.Route{}, startUpstream())
+			f.server.config.Stop = StopTimes{IdleCloseStart: time.Hour, IdleCloseEnd: 2 * time.Hour}
+			var err error
+			conn, err = net.Dial("tcp", f.address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			reply = bufio.NewReader(conn)
+		})
+
+		// send sends text and waits until the session has read it.
+		send := func(text string) {
+			Eventually(f.server.SessionCount).Should(Equal(1))
+			var probe *lines.InputProbe
+			f.server.mu.Lock()
+			for open := range f.server.sessions {
+				probe = lines.NewInputProbe(open.socket)
+			}
+			f.server.mu.Unlock()
+			_, err := conn.Write([]byte(text))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(probe.HasInput).Should(BeFalse())
+		}
+		expectLine := func(expected string) {
+			line, err := reply.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			Expect(line).To(HavePrefix(expected))
+		}
+
+		It("does not end a session that has not read its first line", func() {
+			send("START ")
+			f.server.SetDraining(true)
+			_, err := fmt.Fprintf(conn, "%s me\r\n", name)
+			Expect(err).NotTo(HaveOccurred())
+			expectLine("READY")
+		})
+
+		It("does not end a session whose statement has begun to arrive", func() {
+			_, err := fmt.Fprintf(conn, "START %s me\r\n", name)
+			Expect(err).NotTo(HaveOccurred())
+			expectLine("READY")
+			send("QUERY ")
+			send("i ")
+			f.server.SetDraining(true)
+			_, err = conn.Write([]byte("READ a\r\n"))
+			Expect(err).NotTo(HaveOccurred())
+			expectLine("DATAROW")
+		})
+	})
+
 	It("of a stop is not ended by SetDraining", func() {
 		server := newServer()
 		server.startDrain(&drain{startedAt: time.Now(), stopping: true})
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -125,9 +125,10 @@
 // false if the peer has ended the unit, or if the transaction was idle for too
 // long.
 func (s *session) awaitUnitRequest(reader *bufio.Reader) bool {
+	defer s.wait.end()
 	for {
 		until := s.readDeadline()
-		_ = s.socket.SetReadDeadline(until)
+		s.wait.begin(s.socket, until)
 		if s.server.drain.Load() != s.closeDrain {
 			s.closeDrain = s.server.drain.Load()
 			continue
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -69,6 +69,7 @@
 	// drain.
 	closeAt    time.Time
 	closeDrain *drain
+	wait       inputWait
 }
 
 func newSession(server *Server, socket net.Conn) *session {
@@ -85,7 +86,7 @@
 
 // wake interrupts the wait of the session for its next statement, so that it
 // notices a drain. It may be called from any goroutine.
-func (s *session) wake() { _ = s.socket.SetReadDeadline(time.Now()) }
+func (s *session) wake() { s.wait.interrupt(s.socket) }
 
 // serve runs the session until it ends, and closes its connection.
 func (s *session) serve() {
@@ -113,6 +114,7 @@
 // awaitInput waits for the next statement. It returns false when the session
 // ends.
 func (s *session) awaitInput() bool {
+	defer s.wait.end()
 	for {
 		if s.reader.Buffered() > 0 {
 			return true
@@ -128,7 +130,7 @@
 			// already arrived.
 			until = time.Now().Add(lineTimeout)
 		}
-		_ = s.socket.SetReadDeadline(until)
+		s.wait.begin(s.socket, until)
 		if s.server.drain.Load() != s.closeDrain {
 			continue
 		}
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +21,9 @@
 // patience is a bound that only a hang exceeds.
 const patience = time.Minute
 
+// logTailBytes is how much of each instance's log a failed spec prints.
+const logTailBytes = 16 << 10
+
 func start() *hosted.System { return startWith(hosted.DefaultOptions()) }
 
 func startWith(options hosted.Options) *hosted.System {
@@ -27,10 +31,24 @@
 	defer cancel()
 	system, err := hosted.Start(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(system.Close)
+	DeferCleanup(func() error {
+		if CurrentSpecReport().Failed() {
+			system.PrintLogs(GinkgoWriter, logTailBytes)
+		}
+		return system.Close()
+	})
 	return system
 }
 
+// Failures are repeated at the end, since a long output may be cut at its start.
+var _ = ReportAfterSuite("failures", func(report Report) {
+	for _, spec := range report.SpecReports {
+		if spec.Failed() {
+			fmt.Printf("failed: %s: %s\n", spec.LeafNodeText, spec.Failure.Message)
+		}
+	}
+})
+
 func dial(system *hosted.System, instance int, database string) *hosted.Client {
 	client, err := hosted.Dial(system.Instances[instance].Callers(), database, "client")
 	Expect(err).NotTo(HaveOccurred())
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -324,6 +325,15 @@
 	return nil
 }
 
+// PrintLogs prints the last bytes of the logs of all instances.
+func (s *System) PrintLogs(to io.Writer, limit int) {
+	for _, i := range s.Instances {
+		data, err := os.ReadFile(i.LogPath())
+		fmt.Fprintf(to, "log of %s, %d bytes, error %v\n", i.name(), len(data), err)
+		_, _ = to.Write(data[max(0, len(data)-limit):])
+	}
+}
+
 // Close ends everything.
 func (s *System) Close() error {
 	for _, i := range s.Instances {
