Promises: members that have not read a registration get the row from its instance

An instance that registers just before the store falls silent asks the members for promises; their rows do not list it yet, so they have no connection to it, and their refusals, on which it would have sent them the row, are lost. It stays without a permit until the store is back, counts as away after 2.7 s and closes its sessions: the caller sees EOF.

Change: with the second request about a row the instance sends the row to the members that have granted none. The row does not renew permits, as before.

A system of testbench/hosted that does not start prints its logs.

--- a/pkg/state/failover/promise.go
+++ b/pkg/state/failover/promise.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"maps"
 	"time"
 
 	"gypsumdock/pkg/state/model"
@@ -50,6 +51,7 @@
 }
 
 func (m *Machine) askPromises() {
+	m.sendHeadToUnconfirmed()
 	p := &m.promises
 	p.lastRound++
 	p.askedAt = m.now
@@ -71,6 +73,30 @@
 	m.renewByPromises(round)
 }
 
+// sendHeadToUnconfirmed sends the newest known row to the members that have granted
+// no round about it although there was one. A member whose row does not list this
+// instance yet cannot answer: it has no connection to it. That happens if the table
+// falls silent right after this instance has registered.
+func (m *Machine) sendHeadToUnconfirmed() {
+	granted := map[model.InstanceID]bool{m.self: true}
+	asked := false
+	for _, round := range m.promises.rounds {
+		if round.headVersion != m.head.Version {
+			continue
+		}
+		asked = true
+		maps.Copy(granted, round.given)
+	}
+	if !asked {
+		return
+	}
+	for _, member := range m.head.Members {
+		if !granted[member.ID] {
+			m.send(member.ID, HeadSent{Head: m.head})
+		}
+	}
+}
+
 func (m *Machine) promiseAsked(from model.InstanceID, message PromiseAsked) {
 	if m.head == nil {
 		return
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -90,13 +90,19 @@
 	path    string
 }
 
-// Start starts a system and waits until all its instances are ready.
+// startLogBytes is how much of each instance's log is printed if a system does not
+// start.
+const startLogBytes = 16 << 10
+
+// Start starts a system and waits until all its instances are ready. If they are
+// not, it prints the last lines of their logs.
 func Start(ctx context.Context, options Options) (*System, error) {
 	s := &System{options: options, version: 1, accounts: options.Accounts}
 	if options.Keys != nil {
 		s.accounts = append(s.accounts, keysAccount(options.Keys))
 	}
 	if err := s.start(ctx); err != nil {
+		s.PrintLogs(os.Stderr, startLogBytes)
 		return nil, errors.Join(err, s.Close())
 	}
 	return s, nil
