Sessions: one that starts in a long drain gets its first statement answered

Cause: while an instance is away, the close times of a drain that began long ago have passed, so each new session was closed right after its start, and a statement sent meanwhile had an unknown outcome.

Change: the close time of a session counts from its own start if that is later; in a stop it is not after the end of the stop.

Result: the spec with a drain of an hour fails on the old rule and passes.

--- a/pkg/transport/textfront/drain_test.go
+++ b/pkg/transport/textfront/drain_test.go
@@ -134,6 +134,19 @@
 		})
 	})
 
+	// Load: callers of a data centre whose instances are all away connect again and
+	// again. Each session was closed right after its start, and a write that was sent
+	// meanwhile had an unknown outcome.
+	It("that has lasted long answers the first statement of a new session", func() {
+		f := newFixture(catalog.Route{}, startUpstream())
+		f.server.config.Stop = StopTimes{IdleCloseStart: time.Minute, IdleCloseEnd: 2 * time.Minute}
+		f.server.startDrain(&drain{startedAt: time.Now().Add(-time.Hour)})
+		caller := f.dial()
+		Consistently(caller.isOpen, 20*time.Millisecond).Should(BeTrue())
+		Expect(caller.query("READ a")).To(HavePrefix("DATAROW"))
+		Eventually(caller.isOpen).Should(BeFalse())
+	})
+
 	It("of a stop is not ended by SetDraining", func() {
 		server := newServer()
 		server.startDrain(&drain{startedAt: time.Now(), stopping: true})
@@ -141,3 +154,18 @@
 		Expect(server.drain.Load().stopping).To(BeTrue())
 	})
 })
+
+var _ = DescribeTable("closeTime",
+	func(stopping bool, sessionStart time.Duration, share float64, expected time.Duration) {
+		begin := time.Now()
+		d := &drain{startedAt: begin, stopping: stopping}
+		times := StopTimes{IdleCloseStart: 2 * time.Second, IdleCloseEnd: 4 * time.Second}
+		Expect(d.closeTime(times, begin.Add(sessionStart), share).Sub(begin)).To(Equal(expected))
+	},
+	Entry("of an open session, first", false, -time.Minute, 0.0, 2*time.Second),
+	Entry("of an open session, last", true, -time.Minute, 1.0, 4*time.Second),
+	Entry("of a session that started in a long drain", false, time.Minute, 0.5, time.Minute+3*time.Second),
+	Entry("of a session that started in a stop", true, time.Second, 0.5, 4*time.Second),
+	Entry("of a session that started in a stop, early", true, time.Second, 0.0, 3*time.Second),
+	Entry("of a session that started at the end of a stop", true, 4*time.Second, 0.0, 4*time.Second),
+)
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -79,15 +78,6 @@
 	lastSession atomic.Uint64
 }
 
-// drain is a period in which idle sessions are closed so that their callers
-// reconnect to other instances: during a graceful stop, or while this instance
-// cannot serve.
-type drain struct {
-	startedAt time.Time
-	// stopping is set for a graceful stop, which no other drain replaces.
-	stopping bool
-}
-
 // New returns a server. It accepts no callers before Serve.
 func New(config Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -181,32 +171,6 @@
 	return ctx.Err()
 }
 
-// SetDraining starts or ends a drain. Idle sessions are closed as in a stop,
-// but new ones are still accepted.
-func (s *Server) SetDraining(draining bool) {
-	current := s.drain.Load()
-	switch {
-	case current != nil && current.stopping:
-	case draining && current == nil:
-		s.startDrain(&drain{startedAt: time.Now()})
-	case !draining && current != nil:
-		s.drain.Store(nil)
-	}
-}
-
-// startDrain starts a drain, and wakes the sessions that wait for a statement.
-func (s *Server) startDrain(started *drain) {
-	s.drain.Store(started)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for open := range s.sessions {
-		open.wake()
-	}
-	for unit := range s.units {
-		unit.wake()
-	}
-}
-
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
@@ -215,41 +179,3 @@
 	case <-timer.C:
 	}
 }
-
-// randomCloseTime returns when an idle session is closed in a drain. The times
-// are spread at random, so that callers do not reconnect all at once.
-func (s *Server) randomCloseTime(d *drain) time.Time {
-	window := s.config.Stop.IdleCloseEnd - s.config.Stop.IdleCloseStart
-	spread := time.Duration(rand.Float64() * float64(window))
-	return d.startedAt.Add(s.config.Stop.IdleCloseStart + spread)
-}
-
-// rollbackTime returns when open transactions are rolled back. It returns false
-// unless a stop is in progress.
-func (s *Server) rollbackTime() (time.Time, bool) {
-	current := s.drain.Load()
-	if current == nil || !current.stopping {
-		return time.Time{}, false
-	}
-	return current.startedAt.Add(s.config.Stop.RollbackAfter), true
-}
-
-// boundByStop limits the deadline of a statement to StopTimes.AnswerBy, so that
-// it is answered before its session is closed.
-func (s *Server) boundByStop(deadline time.Time) time.Time {
-	current := s.drain.Load()
-	if current == nil || !current.stopping || s.config.Stop.AnswerBy == 0 {
-		return deadline
-	}
-	end := current.startedAt.Add(s.config.Stop.AnswerBy)
-	if end.Before(deadline) {
-		return end
-	}
-	return deadline
-}
-
-// closesIdleSessions reports whether a session is closed as soon as it is idle.
-func (s *Server) closesIdleSessions() bool {
-	current := s.drain.Load()
-	return current != nil && time.Since(current.startedAt) >= s.config.Stop.IdleCloseStart
-}
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"net"
 	"os"
 	"time"
@@ -70,6 +71,7 @@
 	closeAt    time.Time
 	closeDrain *drain
 	wait       inputWait
+	startedAt  time.Time
 }
 
 func newSession(server *Server, socket net.Conn) *session {
@@ -81,6 +83,8 @@
 		input:    lines.NewInputProbe(socket),
 		values:   make(map[string]string),
 		prepared: make(map[string]prepared),
+
+		startedAt: time.Now(),
 	}
 }
 
@@ -154,7 +158,7 @@
 	s.closeDrain = current
 	s.closeAt = time.Time{}
 	if current != nil {
-		s.closeAt = s.server.randomCloseTime(current)
+		s.closeAt = current.closeTime(s.server.config.Stop, s.startedAt, rand.Float64())
 	}
 }
 
--- a/pkg/transport/textfront/textfront_test.go
+++ b/pkg/transport/textfront/textfront_test.go
@@ -19,6 +19,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/transport/lines"
 	"gypsumdock/pkg/transport/textback"
 	"gypsumdock/platform"
 )
@@ -206,6 +207,10 @@
 	}
 }
 
+// isOpen reports whether the server has not closed the session. There must be no
+// unread answer.
+func (c *testCaller) isOpen() bool { return !lines.NewInputProbe(c.conn).HasInput() }
+
 // query sends a statement and returns its answer.
 func (c *testCaller) query(text string) string {
 	_, _ = fmt.Fprintf(c.conn, "QUERY id1 %s\r\n", text)
