Sessions: a drain closes them after units of work, not after what precedes these

Change: session.isUnitEnd: sessions are closed after the answer that ends a unit of work.

Result: the new spec fails on the old rule and passes.

--- a/pkg/transport/textfront/drain_test.go
+++ b/pkg/transport/textfront/drain_test.go
@@ -147,6 +147,21 @@
 		Eventually(caller.isOpen).Should(BeFalse())
 	})
 
+	// Load: callers that connect to an instance that is away set values and prepare
+	// statements first. Each session was closed after the first of these.
+	It("closes a session after a unit of work, and not after what precedes it", func() {
+		f := newFixture(catalog.Route{}, startUpstream())
+		f.server.config.Stop = StopTimes{IdleCloseStart: time.Minute, IdleCloseEnd: 2 * time.Minute}
+		f.server.startDrain(&drain{startedAt: time.Now().Add(-time.Hour)})
+		caller := f.dial()
+		for _, text := range []string{"SET mode x", "PREPARE s READ q1", "DEALLOCATE s", "BEGIN", "READ a"} {
+			caller.query(text)
+			Consistently(caller.isOpen, 20*time.Millisecond).Should(BeTrue(), text)
+		}
+		caller.query("COMMIT")
+		Eventually(caller.isOpen).Should(BeFalse())
+	})
+
 	It("of a stop is not ended by SetDraining", func() {
 		server := newServer()
 		server.startDrain(&drain{startedAt: time.Now(), stopping: true})
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -233,7 +233,19 @@
 	if cap(s.out) > callerBufferBytes {
 		s.out = nil
 	}
-	return s.state != statement.Idle || !s.server.closesIdleSessions()
+	return !s.isUnitEnd(request.Kind) || !s.server.closesIdleSessions()
+}
+
+// isUnitEnd reports whether a unit of work has ended with the answer to a statement
+// of this kind. A caller that has set a value or prepared a statement is about to send
+// another one, which would be lost if the session were closed in a drain.
+func (s *session) isUnitEnd(kind statement.Kind) bool {
+	switch kind {
+	case statement.Set, statement.Prepare, statement.Deallocate:
+		return false
+	default:
+		return s.state == statement.Idle
+	}
 }
 
 // answer appends the answer to a statement and sets the state of the session.
