textfront: session.go split by job; fixtures of its tests in a file of their own

Change: sessioninput.go waits for statements, statements.go answers them; the fixture and the specs of ServeForwarded have files of their own. Nothing else is changed.

--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"math/rand/v2"
 	"net"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -88,10 +86,6 @@
 	}
 }
 
-// wake interrupts the wait of the session for its next statement, so that it
-// notices a drain. It may be called from any goroutine.
-func (s *session) wake() { s.wait.interrupt(s.socket) }
-
 // serve runs the session until it ends, and closes its connection.
 func (s *session) serve() {
 	defer func() { _ = s.socket.Close() }()
@@ -115,90 +109,6 @@
 	return err == nil
 }
 
-// awaitInput waits for the next statement. It returns false when the session
-// ends.
-func (s *session) awaitInput() bool {
-	defer s.wait.end()
-	for {
-		if s.reader.Buffered() > 0 {
-			return true
-		}
-		s.updateCloseTime()
-		due := s.state == statement.Idle && s.isDueToClose()
-		if due && !s.input.HasInput() {
-			return false
-		}
-		until := s.readDeadline()
-		if due {
-			// A deadline in the past would prevent the read of input that has
-			// already arrived.
-			until = time.Now().Add(lineTimeout)
-		}
-		s.wait.begin(s.socket, until)
-		if s.server.drain.Load() != s.closeDrain {
-			continue
-		}
-		_, err := s.reader.Peek(1)
-		if err == nil {
-			return true
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return false
-		}
-		s.readTimedOut()
-	}
-}
-
-// updateCloseTime sets closeAt when a drain has started or ended.
-func (s *session) updateCloseTime() {
-	current := s.server.drain.Load()
-	if current == s.closeDrain {
-		return
-	}
-	s.closeDrain = current
-	s.closeAt = time.Time{}
-	if current != nil {
-		s.closeAt = current.closeTime(s.server.config.Stop, s.startedAt, rand.Float64())
-	}
-}
-
-// isDueToClose reports whether the session is closed now if it is idle.
-func (s *session) isDueToClose() bool {
-	return !s.closeAt.IsZero() && !time.Now().Before(s.closeAt)
-}
-
-// readDeadline returns when the wait for the next statement ends; zero for no
-// bound.
-func (s *session) readDeadline() time.Time {
-	if s.tx == nil || s.tx.idle().rolledBack {
-		return s.closeAt
-	}
-	until := s.tx.idle().expiresAt
-	if end, stopping := s.server.rollbackTime(); stopping && (until.IsZero() || end.Before(until)) {
-		until = end
-	}
-	return until
-}
-
-// readTimedOut acts on the end of a wait for a statement. It rolls back an open
-// transaction whose time has run out; the caller is told in the answer to its
-// next statement. A session without a transaction to roll back is closed if it
-// is due.
-func (s *session) readTimedOut() {
-	now := time.Now()
-	if s.tx == nil || s.tx.idle().rolledBack {
-		if s.state != statement.Idle && s.isDueToClose() {
-			_ = s.socket.Close()
-		}
-		return
-	}
-	end, stopping := s.server.rollbackTime()
-	if s.tx.idle().isExpired(now) || stopping && !now.Before(end) {
-		s.tx.rollBack()
-		s.tx.idle().rolledBack = true
-	}
-}
-
 // serveLine reads and answers one statement. It returns false when the session
 // ends.
 func (s *session) serveLine() bool {
@@ -248,149 +158,6 @@
 	}
 }
 
-// answer appends the answer to a statement and sets the state of the session.
-func (s *session) answer(request statement.Request, arrived time.Duration) {
-	if s.state == statement.TransactionFailed {
-		s.answerFailed(request)
-		return
-	}
-	if !s.admit(request, arrived) {
-		return
-	}
-	switch request.Kind {
-	case statement.Begin:
-		s.begin(request)
-	case statement.Commit, statement.Rollback:
-		s.end(request, arrived)
-	case statement.Read, statement.Write, statement.Execute:
-		s.run(request, arrived)
-	case statement.Set:
-		s.set(request)
-	case statement.Prepare:
-		s.prepare(request)
-	case statement.Deallocate:
-		s.deallocate(request)
-	default:
-		s.fail(request, statement.FailMalformed, "statement cannot be read")
-	}
-}
-
-// answerFailed answers a statement in a failed transaction, which the caller
-// can only end.
-func (s *session) answerFailed(request statement.Request) {
-	switch request.Kind {
-	case statement.Rollback:
-		s.state = statement.Idle
-		s.complete("")
-	case statement.Commit:
-		s.state = statement.Idle
-		s.fail(request, statement.FailAborted, "the transaction was rolled back")
-	default:
-		s.fail(request, statement.FailMalformed, "the transaction has failed")
-	}
-}
-
-// complete appends the success of a statement.
-func (s *session) complete(signature string) {
-	s.out = s.codec().AppendComplete(s.out, signature)
-}
-
-// fail appends the failure of a statement and logs it without the attributes of
-// a unit.
-func (s *session) fail(request statement.Request, code statement.FailureCode, text string) {
-	s.out = s.codec().AppendFailure(s.out, statement.Failure{Code: code, Text: text})
-	s.server.recorder.rejected(request, code, text)
-}
-
-// begin starts a transaction. Nothing is sent to an upstream before the first
-// statement of the transaction.
-func (s *session) begin(request statement.Request) {
-	if s.tx != nil {
-		s.fail(request, statement.FailMalformed, "a transaction is open")
-		return
-	}
-	route, found := s.route()
-	if !found {
-		s.fail(request, statement.FailNoDatabase, "no route to this database")
-		return
-	}
-	if s.mustForward(route) {
-		s.tx = newForwardedTransaction(s, route, request.ReadOnly)
-	} else {
-		s.tx = newTransaction(s, route, request.ReadOnly)
-	}
-	s.state = statement.InTransaction
-	s.complete("")
-}
-
-// end commits the transaction or rolls it back.
-func (s *session) end(request statement.Request, arrived time.Duration) {
-	if s.tx == nil {
-		s.fail(request, statement.FailMalformed, "no transaction is open")
-		return
-	}
-	ended := s.tx
-	s.tx = nil
-	s.state = statement.Idle
-	if request.Kind == statement.Rollback {
-		ended.rollBack()
-		s.complete("")
-		return
-	}
-	ended.commit(request, arrived)
-}
-
-// run answers a statement that an upstream executes.
-func (s *session) run(request statement.Request, arrived time.Duration) {
-	stmt, found := s.bind(request)
-	if !found {
-		s.fail(request, statement.FailNotPrepared, "no such prepared statement")
-		s.failTransaction()
-		return
-	}
-	if s.tx != nil {
-		s.tx.run(stmt, arrived)
-		return
-	}
-	route, found := s.route()
-	if !found {
-		s.fail(request, statement.FailNoDatabase, "no route to this database")
-		return
-	}
-	if s.mustForward(route) {
-		forwardSingle(s, route, stmt, arrived)
-		return
-	}
-	runSingle(s, route, stmt, arrived)
-}
-
-// route returns the route of the session's database.
-func (s *session) route() (*catalog.Route, bool) {
-	if s.forwarded != nil {
-		return s.forwarded, true
-	}
-	return s.server.config.Dispatch.Catalog().Route(s.start.Database)
-}
-
-// failTransaction rolls back the transaction, if one is open, after a failure.
-func (s *session) failTransaction() {
-	if s.tx == nil {
-		return
-	}
-	s.tx.rollBack()
-	s.tx = nil
-	s.state = statement.TransactionFailed
-}
-
-// rollBackOpen rolls back the transaction that was open when the caller
-// disconnected.
-func (s *session) rollBackOpen() {
-	if s.tx != nil {
-		s.tx.rollBack()
-		s.tx = nil
-	}
-}
-
 // recordWrite records the position of a write that is acknowledged to the
 // caller.
 func (s *session) recordWrite(at model.Position) {
