Search over orders of events: schedules with connections to listed members only

Cause: the search delivered messages to instances that the sender's row does not list.

Change: network.listedOnly, and 100 more schedules with it.

--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -97,6 +97,15 @@
 	run()
 }
 
+// lists reports whether the newest row that the node knows lists the instance.
+func (n *node) lists(id model.InstanceID) bool {
+	if n.view.Head == nil {
+		return false
+	}
+	_, found := n.view.Head.Member(id)
+	return found
+}
+
 // clock returns the node's monotonic time.
 func (n *node) clock() time.Duration {
 	return time.Duration(float64(n.w.now-n.bootedAt) * n.rate)
--- a/pkg/state/failover/search/platform_test.go
+++ b/pkg/state/failover/search/platform_test.go
@@ -129,6 +129,9 @@
 	cutDC map[model.DataCentre]map[model.DataCentre]bool
 	// drop, if not nil, returns true for messages that are to be lost.
 	drop func(failover.PeerMessage) bool
+	// listedOnly loses the messages to instances that the sender's newest row does
+	// not list, to which it has no connection in the mesh.
+	listedOnly bool
 }
 
 func (c *network) delay() time.Duration { return c.w.between(c.delayMax/4, c.delayMax) }
@@ -139,6 +142,9 @@
 	if c.drop != nil && c.drop(message) {
 		return
 	}
+	if c.listedOnly && !from.lists(to) {
+		return
+	}
 	copies := 1
 	if c.repeat > 0 && c.w.chance(c.repeat) {
 		copies = 2
--- a/pkg/state/failover/search/search_test.go
+++ b/pkg/state/failover/search/search_test.go
@@ -22,6 +22,9 @@
 	RunSpecs(t, "failover search")
 }
 
+// listedOnlySeeds is the number of schedules with connections to listed members only.
+const listedOnlySeeds uint64 = 100
+
 // workers is the number of runs in parallel.
 const workers = 4
 
@@ -41,7 +44,11 @@
 // runSeed runs the schedule of one seed and checks that the group takes writes
 // at its end.
 func runSeed(seed uint64, rules failover.Rules, faults []fault) *world {
-	w := newWorld(seed, rules, 3+int(seed%3))
+	return runWorld(newWorld(seed, rules, 3+int(seed%3)), faults)
+}
+
+// runWorld runs the schedule of a world as runSeed does.
+func runWorld(w *world, faults []fault) *world {
 	w.schedule(faults)
 	end := faultsTo + 4*time.Second + healBound
 	w.run(end)
@@ -107,6 +114,19 @@
 		Expect(total.generations).To(BeNumerically(">", total.schedules/2))
 	})
 
+	// In the mesh an instance cannot answer one that has registered since it read the
+	// row.
+	It("keep every invariant with connections to listed members only", func() {
+		var total tally
+		for seed := range listedOnlySeeds {
+			w := newWorld(seed, failover.Rules{}, 3+int(seed%3))
+			w.net.listedOnly = true
+			total.add(seed, runWorld(w, allFaults))
+		}
+		Expect(total.violations).To(BeEmpty())
+		Expect(total.generations).To(BeNumerically(">", total.schedules/2))
+	})
+
 	DescribeTable("violate an invariant if a safety rule is off",
 		func(rules failover.Rules, faults ...fault) {
 			total := search(ruleOffSeeds, rules, faults, true)
