textfront: comments of the drain and of the fields of a session

Cause: read as a newcomer, the comment on closesIdleSessions still told the former rule, and two fields had none.

Change: comments, and one import line.

Result: no change of behaviour.

--- a/pkg/transport/textfront/drain.go
+++ b/pkg/transport/textfront/drain.go
@@ -1,8 +1,6 @@
 package textfront
 
-import (
-	"time"
-)
+import "time"
 
 // drain is a period in which idle sessions are closed so that their callers
 // reconnect to other instances: during a graceful stop, or while this instance
@@ -85,7 +83,8 @@
 	return deadline
 }
 
-// closesIdleSessions reports whether a session is closed as soon as it is idle.
+// closesIdleSessions reports whether a session is closed as soon as a unit of work
+// has ended.
 func (s *Server) closesIdleSessions() bool {
 	current := s.drain.Load()
 	return current != nil && time.Since(current.startedAt) >= s.config.Stop.IdleCloseStart
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -68,8 +68,10 @@
 	// drain.
 	closeAt    time.Time
 	closeDrain *drain
-	wait       inputWait
-	startedAt  time.Time
+	// wait is the wait for the next statement, which a drain interrupts.
+	wait inputWait
+	// startedAt is when the caller connected.
+	startedAt time.Time
 }
 
 func newSession(server *Server, socket net.Conn) *session {
