Sessions: what has begun to arrive does not hold up a stop

Change: a session waits for its first line as it waits for a statement (awaitStart), and reads of a line end when the last statement of a stop must have been answered.

--- a/pkg/transport/textfront/drain.go
+++ b/pkg/transport/textfront/drain.go
@@ -51,11 +51,12 @@
 	s.drain.Store(started)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	answerBy := s.boundByStop(time.Time{})
 	for open := range s.sessions {
-		open.wake()
+		open.wake(answerBy)
 	}
 	for unit := range s.units {
-		unit.wake()
+		unit.wake(answerBy)
 	}
 }
 
@@ -70,14 +71,14 @@
 }
 
 // boundByStop limits the deadline of a statement to StopTimes.AnswerBy, so that
-// it is answered before its session is closed.
+// it is answered before its session is closed. A zero deadline means none.
 func (s *Server) boundByStop(deadline time.Time) time.Time {
 	current := s.drain.Load()
 	if current == nil || !current.stopping || s.config.Stop.AnswerBy == 0 {
 		return deadline
 	}
 	end := current.startedAt.Add(s.config.Stop.AnswerBy)
-	if end.Before(deadline) {
+	if deadline.IsZero() || end.Before(deadline) {
 		return end
 	}
 	return deadline
--- a/pkg/transport/textfront/drain_test.go
+++ b/pkg/transport/textfront/drain_test.go
@@ -121,6 +121,13 @@
 			expectLine("READY")
 		})
 
+		It("ends it when the last statement of a stop must have been answered", func() {
+			f.server.config.Stop.AnswerBy = 20 * time.Millisecond
+			send("START ")
+			f.server.startDrain(&drain{startedAt: time.Now(), stopping: true})
+			Eventually(f.server.SessionCount).Should(BeZero())
+		})
+
 		It("does not end a session whose statement has begun to arrive", func() {
 			_, err := fmt.Fprintf(conn, "START %s me\r\n", name)
 			Expect(err).NotTo(HaveOccurred())
@@ -162,6 +169,18 @@
 		Eventually(caller.isOpen).Should(BeFalse())
 	})
 
+	// A connection without a first line must not hold up a stop.
+	It("of a stop closes a session that has sent nothing", func() {
+		f := newFixture(catalog.Route{}, startUpstream())
+		f.server.config.Stop = StopTimes{IdleCloseStart: time.Millisecond, IdleCloseEnd: 2 * time.Millisecond}
+		conn, err := net.Dial("tcp", f.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Eventually(f.server.SessionCount).Should(Equal(1))
+		f.server.startDrain(&drain{startedAt: time.Now(), stopping: true})
+		Eventually(f.server.SessionCount).Should(BeZero())
+	})
+
 	It("of a stop is not ended by SetDraining", func() {
 		server := newServer()
 		server.startDrain(&drain{startedAt: time.Now(), stopping: true})
--- a/pkg/transport/textfront/inputwait.go
+++ b/pkg/transport/textfront/inputwait.go
@@ -30,12 +30,16 @@
 	w.waiting = false
 }
 
-// interrupt makes the read of a wait time out. It does nothing without a wait. It
-// may be called from any goroutine.
-func (w *inputWait) interrupt(conn net.Conn) {
+// interrupt makes the read of a wait time out. Without a wait it limits the read of a
+// message that has begun to arrive to until; zero for no limit. It may be called from
+// any goroutine.
+func (w *inputWait) interrupt(conn net.Conn, until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.waiting {
+	switch {
+	case w.waiting:
 		_ = conn.SetReadDeadline(time.Now())
+	case !until.IsZero():
+		_ = conn.SetReadDeadline(until)
 	}
 }
--- a/pkg/transport/textfront/serveforwarded.go
+++ b/pkg/transport/textfront/serveforwarded.go
@@ -113,7 +113,7 @@
 		if !s.awaitUnitRequest(reader) {
 			return
 		}
-		_ = s.socket.SetReadDeadline(time.Now().Add(lineTimeout))
+		_ = s.socket.SetReadDeadline(s.server.boundByStop(time.Now().Add(lineTimeout)))
 		request = &meshpb.UnitRequest{}
 		if textforward.ReadFrame(reader, request) != nil || !isValidStatement(request) {
 			return
--- a/pkg/transport/textfront/session.go
+++ b/pkg/transport/textfront/session.go
@@ -70,8 +70,10 @@
 	closeDrain *drain
 	// wait is the wait for the next statement, which a drain interrupts.
 	wait inputWait
-	// startedAt is when the caller connected.
+	// startedAt is when the caller connected, and startBy when its first line must have
+	// begun; zero once it has.
 	startedAt time.Time
+	startBy   time.Time
 }
 
 func newSession(server *Server, socket net.Conn) *session {
@@ -114,7 +116,7 @@
 // serveLine reads and answers one statement. It returns false when the session
 // ends.
 func (s *session) serveLine() bool {
-	_ = s.socket.SetReadDeadline(time.Now().Add(lineTimeout))
+	_ = s.socket.SetReadDeadline(s.server.boundByStop(time.Now().Add(lineTimeout)))
 	line, err := lines.Read(s.reader, statement.MaxMessageBytes)
 	if errors.Is(err, lines.ErrTooLong) {
 		s.refuse(statement.FailTooLarge, "message too large")
--- a/pkg/transport/textfront/sessioninput.go
+++ b/pkg/transport/textfront/sessioninput.go
@@ -11,8 +11,9 @@
 )
 
 // wake interrupts the wait of the session for its next statement, so that it
-// notices a drain. It may be called from any goroutine.
-func (s *session) wake() { s.wait.interrupt(s.socket) }
+// notices a drain. A statement that has begun to arrive is read until answerBy; zero
+// for no limit. It may be called from any goroutine.
+func (s *session) wake(answerBy time.Time) { s.wait.interrupt(s.socket, answerBy) }
 
 // awaitInput waits for the next statement. It returns false when the session
 // ends.
@@ -61,16 +62,25 @@
 	}
 }
 
+// idleEnd returns when the session is closed if it is idle then; zero for never.
+func (s *session) idleEnd() time.Time {
+	if s.closeAt.IsZero() || !s.startBy.IsZero() && s.startBy.Before(s.closeAt) {
+		return s.startBy
+	}
+	return s.closeAt
+}
+
 // isDueToClose reports whether the session is closed now if it is idle.
 func (s *session) isDueToClose() bool {
-	return !s.closeAt.IsZero() && !time.Now().Before(s.closeAt)
+	end := s.idleEnd()
+	return !end.IsZero() && !time.Now().Before(end)
 }
 
 // readDeadline returns when the wait for the next statement ends; zero for no
 // bound.
 func (s *session) readDeadline() time.Time {
 	if s.tx == nil || s.tx.idle().rolledBack {
-		return s.closeAt
+		return s.idleEnd()
 	}
 	until := s.tx.idle().expiresAt
 	if end, stopping := s.server.rollbackTime(); stopping && (until.IsZero() || end.Before(until)) {
--- a/pkg/transport/textfront/start.go
+++ b/pkg/transport/textfront/start.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// startTimeout bounds the wait for the first line of a session.
+	// startTimeout bounds the wait for the first line of a session to begin, and the
+	// wait for its rest.
 	startTimeout = 5 * time.Second
 	// catalogTimeout bounds the wait for the first configuration. Callers
 	// abandon a session that is not answered within two seconds.
@@ -33,7 +34,10 @@
 // handshake reads the first line, which starts the session, and answers it. It
 // returns false if the session was refused.
 func (s *session) handshake() bool {
-	_ = s.socket.SetReadDeadline(time.Now().Add(startTimeout))
+	if !s.awaitStart() {
+		return false
+	}
+	_ = s.socket.SetReadDeadline(s.server.boundByStop(time.Now().Add(startTimeout)))
 	line, err := lines.Read(s.reader, statement.MaxMessageBytes)
 	if err != nil {
 		s.refuseFirstLine(err)
@@ -60,6 +64,14 @@
 	return s.flush()
 }
 
+// awaitStart waits for the first line to begin. It returns false if it has not begun
+// in time, or before a drain closes the session.
+func (s *session) awaitStart() bool {
+	s.startBy = time.Now().Add(startTimeout)
+	defer func() { s.startBy = time.Time{} }()
+	return s.awaitInput()
+}
+
 // awaitCatalog waits for the first configuration, without which the routes of a
 // database are not known. It returns false if none has arrived in time.
 func (s *session) awaitCatalog() bool {
