Test systems: the ports of an instance differ

Each port was found with a listener that was closed before the next was found; two of three were equal in 26 of 60,000 draws on this machine, about one instance in 2,300, and such an instance ends at its start.

Change: the listeners are held until all ports are found. Errors show the logs of instances that have ended, and the wait for a hosted instance ends with its process.

--- a/testbench/cluster/ctl.go
+++ b/testbench/cluster/ctl.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -25,11 +27,22 @@
 		return err
 	}
 	if code != 0 {
-		return errors.Errorf("gypsumctl apply exited with %d: %s", code, output)
+		return errors.Errorf("gypsumctl apply exited with %d: %s%s", code, output, c.endedLogs())
 	}
 	return c.WaitReady(ctx)
 }
 
+// endedLogs returns the last lines of the instances that have ended.
+func (c *Cluster) endedLogs() string {
+	var logs strings.Builder
+	for _, i := range c.Instances {
+		if i.Exited() {
+			fmt.Fprintf(&logs, "%s ended; log: %s", i.ID, tail(i.LogPath))
+		}
+	}
+	return logs.String()
+}
+
 // ApplyFolder applies a folder with further options and returns the output and
 // exit code of gypsumctl.
 func (c *Cluster) ApplyFolder(ctx context.Context, folder string, options ...string) (string, int, error) {
--- a/testbench/cluster/instance.go
+++ b/testbench/cluster/instance.go
@@ -72,11 +72,11 @@
 	if err != nil {
 		return err
 	}
-	for _, address := range []*string{&i.Callers, &i.Mesh, &i.Admin} {
-		if *address, err = port(host); err != nil {
-			return err
-		}
+	addresses, err := ports(host, 3)
+	if err != nil {
+		return err
 	}
+	i.Callers, i.Mesh, i.Admin = addresses[0], addresses[1], addresses[2]
 	if i.ToCallers, err = c.proxy(i.Callers); err != nil {
 		return err
 	}
--- a/testbench/cluster/subnet.go
+++ b/testbench/cluster/subnet.go
@@ -52,14 +52,19 @@
 	return host, nil
 }
 
-// port returns host with a free port.
-func port(host string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+// ports returns host with as many free ports, which differ. All are held until the
+// last one is found: a port that was free once may be found again.
+func ports(host string, count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	address := listener.Addr().String()
-	return address, listener.Close()
+	return addresses, nil
 }
 
 func (s *subnet) release() error { return s.lock.Close() }
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -174,7 +174,9 @@
 	s.Store.Put("op", "config", body)
 }
 
-// freePorts finds ports that are free on the addresses of all instances.
+// freePorts finds ports that are free on the addresses of all instances, and that
+// differ. All are held until the last one is found: a port that was free once may be
+// found again.
 func freePorts(instances int) (ports, error) {
 	var found []int
 	for len(found) < 3 {
@@ -182,23 +184,28 @@
 		if err != nil {
 			return ports{}, err
 		}
+		defer func() { _ = listener.Close() }()
 		port := listener.Addr().(*net.TCPAddr).Port
-		free := true
-		for i := 1; i < instances && free; i++ {
-			other, err := net.Listen("tcp", net.JoinHostPort(instanceIP(i), strconv.Itoa(port)))
-			free = err == nil
-			if free {
-				_ = other.Close()
-			}
-		}
-		_ = listener.Close()
-		if free {
+		if isFreeOnOthers(port, instances) {
 			found = append(found, port)
 		}
 	}
 	return ports{callers: found[0], ready: found[1], mesh: found[2]}, nil
 }
 
+// isFreeOnOthers reports whether the port is free on the addresses of all instances
+// but the first.
+func isFreeOnOthers(port, instances int) bool {
+	for i := 1; i < instances; i++ {
+		listener, err := net.Listen("tcp", net.JoinHostPort(instanceIP(i), strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 func instanceIP(index int) string { return fmt.Sprintf("127.0.77.%d", index+1) }
 
 func (s *System) place(index int) (*Instance, error) {
@@ -275,12 +282,14 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// WaitReady waits until the instance wants callers.
+// WaitReady waits until the instance wants callers, has ended, or ctx is done.
 func (i *Instance) WaitReady(ctx context.Context) error {
 	for !i.Ready() {
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "instance %d", i.Index)
+		case <-i.process.Done():
+			return errors.Errorf("instance %d ended", i.Index)
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
