--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -234,4 +234,12 @@
 		Level:   slog.LevelWarn,
 		Meaning: "A connection of a caller could not be accepted, for example because no file descriptor is free.",
 	})
+	// StoreAnswerCut is event 557.
+	StoreAnswerCut = define(Event{
+		Number:  557,
+		Name:    "answer of the store cut short",
+		Level:   slog.LevelInfo,
+		Meaning: "A body that the store was sending did not arrive to its end: the call, the bytes that had arrived and the time that they took. At most one line a second.",
+		Action:  "If the bytes are many: the link is too narrow for the answer within the time limit.",
+	})
 )
--- a/pkg/events/mesh.go
+++ b/pkg/events/mesh.go
@@ -65,4 +65,12 @@
 		Level:   slog.LevelDebug,
 		Meaning: "An attempt to open a mesh session with a peer failed; it is retried.",
 	})
+	// PeerAnswerLate is event 209.
+	PeerAnswerLate = define(Event{
+		Number:  209,
+		Name:    "late answer of a peer",
+		Level:   slog.LevelInfo,
+		Meaning: "An answer arrived after its call had been given up: its size in bytes. At most one line a second for each peer.",
+		Action:  "If there are many large ones: the link is too narrow for what is sent over it, see OPERATIONS.md.",
+	})
 )
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -152,7 +152,7 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	wire := platform.LineCodec{}
-	h.store = platform.NewStore(h.settings.StoreAddress, storeTimeout)
+	h.store = platform.NewStore(h.settings.StoreAddress, storeTimeout, h.logger)
 	h.pools = textback.New(wire, h.settings.Machine)
 	h.forward = textforward.New(h.logger)
 	h.dispatch = dispatcher.New(dispatcher.Config{Clock: h.clock, Home: h.settings.DataCentre, UseTopology: h.useTopology, Self: h.self.ID, Logger: h.logger})
--- a/pkg/telemetry/catalogue.go
+++ b/pkg/telemetry/catalogue.go
@@ -39,10 +39,16 @@
 
 // Metrics of the mesh.
 var (
-	MeshPeers    = gauge("gypsumdock_mesh_peers", "Peers with an open mesh session.")
-	MeshCalls    = counter("gypsumdock_mesh_calls_total", "Calls to peers, by result: ok, timeout or failed.", "result")
-	MeshBytes    = counter("gypsumdock_mesh_bytes_total", "Bytes of mesh traffic on the wire, by direction: in or out.", "direction")
-	MeshForwards = counter("gypsumdock_mesh_forwards_total", "Units of work forwarded to a peer.")
+	MeshPeers     = gauge("gypsumdock_mesh_peers", "Peers with an open mesh session.")
+	MeshCalls     = counter("gypsumdock_mesh_calls_total", "Calls to peers, by result: ok, timeout or failed.", "result")
+	MeshBytes     = counter("gypsumdock_mesh_bytes_total", "Bytes of mesh traffic on the wire, by direction: in or out.", "direction")
+	MeshLateBytes = counter("gypsumdock_mesh_late_bytes_total", "Bytes of answers that arrived after their calls had been given up.")
+	MeshForwards  = counter("gypsumdock_mesh_forwards_total", "Units of work forwarded to a peer.")
+)
+
+// Metrics of the reads of the platform's store.
+var (
+	StoreBytes = counter("gypsumdock_store_bytes_total", "Bytes of bodies that the store sent, by outcome of the call: complete, or cut short by a time limit, a cancellation or a fault.", "outcome")
 )
 
 // Metrics of failover and permits.
--- a/pkg/transport/mesh/link.go
+++ b/pkg/transport/mesh/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"gypsumdock/pkg/events"
 	"gypsumdock/pkg/protocol/meshpb"
@@ -25,8 +26,10 @@
 	peer   model.Member
 	ctx    context.Context
 	cancel context.CancelFunc
-	// timeoutLog logs calls that timed out.
+	// timeoutLog logs calls that timed out, and lateLog answers that arrived
+	// after their calls had been given up.
 	timeoutLog *events.Throttle
+	lateLog    *events.Throttle
 
 	// mu guards the fields below. It is never held during I/O.
 	mu sync.Mutex
@@ -48,11 +51,12 @@
 		outstanding: make(map[uint64]chan *meshpb.Envelope),
 
 		timeoutLog: events.NewThrottle(events.PeerCallTimedOut, timeoutLogInterval),
+		lateLog:    events.NewThrottle(events.PeerAnswerLate, timeoutLogInterval),
 	}
 }
 
 // timeoutLogInterval is the minimum time between two log lines about calls to a
-// peer that timed out.
+// peer that timed out, and between two about late answers.
 const timeoutLogInterval = time.Second
 
 // run dials the peer again whenever the session ends, until the link's context
@@ -163,16 +167,31 @@
 // deliver passes an answer to the call that waits for it. An answer to a call
 // that was given up is dropped.
 func (l *link) deliver(message *meshpb.Envelope) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	waiting, exists := l.outstanding[message.GetCallId()]
+	waiting, exists := l.takeCall(message.GetCallId())
 	if !exists {
+		l.recordLateAnswer(message)
 		return
 	}
-	delete(l.outstanding, message.GetCallId())
 	waiting <- message
 }
 
+// takeCall removes an outstanding call and returns its channel.
+func (l *link) takeCall(id uint64) (chan *meshpb.Envelope, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waiting, exists := l.outstanding[id]
+	delete(l.outstanding, id)
+	return waiting, exists
+}
+
+// recordLateAnswer records an answer to a call that was given up: its bytes took
+// up the link for nothing.
+func (l *link) recordLateAnswer(message *meshpb.Envelope) {
+	size := proto.Size(message)
+	lateBytes.Add(size)
+	l.lateLog.Log(l.ctx, l.config.Logger, slog.String("peer", string(l.peer.ID)), slog.Int("bytes", size))
+}
+
 // openQueue makes the link connected and returns its queue of messages.
 func (l *link) openQueue(session *muxSession) chan *meshpb.Envelope {
 	l.mu.Lock()
--- a/pkg/transport/mesh/mesh_test.go
+++ b/pkg/transport/mesh/mesh_test.go
@@ -26,7 +26,13 @@
 // echo is a Handler that answers a MarkAsk with the length of the session's name
 // as the log position, copies forwarded streams back and puts other messages into
 // received.
-type echo struct{ received chan *meshpb.Envelope }
+type echo struct {
+	received chan *meshpb.Envelope
+	// hold delays the answers of sessions named heldSession until it is closed.
+	hold chan struct{}
+}
+
+const heldSession = "held"
 
 func (e *echo) HandleMessage(_ model.InstanceID, message *meshpb.Envelope, reply func(*meshpb.Envelope)) {
 	ask := message.GetMarkAsk()
@@ -36,7 +42,15 @@
 	}
 	mark := &meshpb.Mark{Lsn: uint64(len(ask.GetKey().GetSession()))}
 	answer := &meshpb.MarkAnswer{Mark: mark}
-	reply(&meshpb.Envelope{Body: &meshpb.Envelope_MarkAnswer{MarkAnswer: answer}})
+	send := func() { reply(&meshpb.Envelope{Body: &meshpb.Envelope_MarkAnswer{MarkAnswer: answer}}) }
+	if ask.GetKey().GetSession() != heldSession {
+		send()
+		return
+	}
+	go func() {
+		<-e.hold
+		send()
+	}()
 }
 
 func (e *echo) HandleForward(_ context.Context, _ model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
@@ -54,7 +68,7 @@
 func start(id model.InstanceID) (*mesh.Node, model.Member, *echo) {
 	listener := listen()
 	self := model.Member{ID: id, Address: listener.Addr().String()}
-	handler := &echo{received: make(chan *meshpb.Envelope, 16)}
+	handler := &echo{received: make(chan *meshpb.Envelope, 16), hold: make(chan struct{})}
 	node := mesh.New(mesh.Config{
 		Self:     self,
 		Region:   "cymru-south",
@@ -104,6 +118,16 @@
 		Expect(conn.Close()).To(Succeed())
 	})
 
+	It("counts the bytes of an answer whose call was given up", func(ctx SpecContext) {
+		before := telemetry.MeshLateBytes.With().Get()
+		given, giveUp := context.WithCancel(ctx)
+		giveUp()
+		_, err := left.Call(given, "right", markAsk(heldSession))
+		Expect(err).To(MatchError(context.Canceled))
+		close(handler.hold)
+		Eventually(ctx, telemetry.MeshLateBytes.With().Get).Should(BeNumerically(">", before))
+	})
+
 	It("returns ErrPeerUnreachable for an unknown peer", func(ctx SpecContext) {
 		_, err := left.Call(ctx, "nobody", markAsk("s"))
 		Expect(err).To(MatchError(mesh.ErrPeerUnreachable))
--- a/pkg/transport/mesh/telemetry.go
+++ b/pkg/transport/mesh/telemetry.go
@@ -21,6 +21,7 @@
 	callsOK       = telemetry.MeshCalls.With("ok")
 	callsTimedOut = telemetry.MeshCalls.With("timeout")
 	callsFailed   = telemetry.MeshCalls.With("failed")
+	lateBytes     = telemetry.MeshLateBytes.With()
 	forwards      = telemetry.MeshForwards.With()
 )
 
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -301,7 +302,7 @@
 
 // Members returns the instances that the head row lists.
 func (s *System) Members(ctx context.Context) ([]*Instance, error) {
-	store := platform.NewStore(s.Store.Address(), time.Second)
+	store := platform.NewStore(s.Store.Address(), time.Second, slog.New(slog.DiscardHandler))
 	defer store.Close()
 	head, err := headstore.New(store, regionName).Read(ctx)
 	if err != nil || head == nil {
