Region: a closed loop does not wait for its next read of the head row

Cause: after Close, the wait between two reads of the head row went on without sleeping, for up to 0.35 s of processor time.

Change: the wait ends with the loop.

Result: the specs in virtual time end.

--- a/pkg/coordination/region/reader.go
+++ b/pkg/coordination/region/reader.go
@@ -178,9 +178,10 @@
 }
 
 // paceHeadReads waits until minHeadReadInterval has passed since the start of
-// the previous read of the head row, or until an urgent query arrives.
+// the previous read of the head row, until an urgent query arrives, or until the
+// loop is closed.
 func (l *Loop) paceHeadReads() {
-	for !l.urgentHeadRead.Swap(false) && l.now() < l.lastHeadReadAt+minHeadReadInterval {
+	for l.ctx.Err() == nil && !l.urgentHeadRead.Swap(false) && l.now() < l.lastHeadReadAt+minHeadReadInterval {
 		sleep(l.ctx, urgentPollInterval)
 	}
 }
