--- a/pkg/coordination/region/registry_test.go
+++ b/pkg/coordination/region/registry_test.go
@@ -12,7 +12,11 @@
 	"gypsumdock/pkg/state/model"
 )
 
+// suite is the test that runs the specs. Specs in virtual time need it.
+var suite *testing.T
+
 func TestRegion(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "region")
 }
