Large tables go to peers in parts, by calls of their own

What callers saw: 404 for databases that had been added more than 5 s before, and a third of the requests not served, on all instances with 10 Mbit/s, without an end.

Cause: a reply to a query held the whole configuration as JSON, 0.68 MB with 4,200 routes, which takes longer over such a link than the 0.5 s after which the query is given up. The reply arrived all the same and was dropped; the next query had it sent again, from its start, by another member. A frame of over 1 MiB would have ended the session.

Change: a table that exceeds 16 KB is offered with its digest, compressed, and fetched in parts of 16 KB, one call each (pkg/state/transfer, region/fetch.go). A transfer that fails goes on at the next peer that offers the same data. A version that is being fetched is not dropped for a newer one. The confirmation in a reply counts once its configuration is active. An instance that does not say that it takes offers gets the tables as before.

Why it works: what must arrive within a time limit no longer grows with the configuration, and nothing is sent twice.

--- a/pkg/coordination/region/confirm.go
+++ b/pkg/coordination/region/confirm.go
@@ -42,16 +42,19 @@
 }
 
 // confirmFromPeer takes over the confirmation in the reply to a query that was
-// sent at started. adopted is false if the configuration in the reply could not
-// be used.
-func (l *Loop) confirmFromPeer(started time.Duration, reply *StateReply, adopted bool) {
-	if !reply.Confirmed || !adopted || l.catalog == nil {
+// sent at started. If the configuration that it confirms is yet to be fetched, it
+// counts from then on.
+func (l *Loop) confirmFromPeer(started time.Duration, reply *StateReply) {
+	if !reply.Confirmed || reply.ConfirmationAge < 0 || reply.ConfirmationAge > maxConfirmationAge {
 		return
 	}
-	if reply.ConfirmationAge < 0 || reply.ConfirmationAge > maxConfirmationAge {
+	if offer := reply.CatalogOffer; offer != nil && !l.holdsCatalog(catalog.Version(offer.Version)) {
+		l.confirmation.PeerOffered(started, reply.ConfirmationAge, catalog.Version(offer.Version))
 		return
 	}
-	l.confirmation.PeerConfirmed(started, reply.ConfirmationAge)
+	if l.catalog != nil {
+		l.confirmation.PeerConfirmed(started, reply.ConfirmationAge)
+	}
 }
 
 // addConfirmation adds the confirmation of a snapshot to a reply. The tables must
--- a/pkg/coordination/region/headsources.go
+++ b/pkg/coordination/region/headsources.go
@@ -32,7 +32,7 @@
 		l.headReadsInFlight.Add(-1)
 		return
 	}
-	query := StateQuery{Head: l.view.Head, UpstreamsVersion: l.upstreamsVersion, Urgent: l.isUrgent()}
+	query := StateQuery{Head: l.view.Head, UpstreamsVersion: l.upstreamsVersion, Urgent: l.isUrgent(), TakesOffers: true}
 	if l.catalog != nil {
 		query.CatalogVersion = l.catalog.Version
 	}
@@ -148,7 +148,7 @@
 	defer cancel()
 	reply, err := l.config.Peers.QueryState(queryCtx, reader, query)
 	if err == nil {
-		l.post(func() { l.handleReply(started, reply) })
+		l.post(func() { l.handleReply(started, reader, reply) })
 		return true
 	}
 	if ctx.Err() == nil {
--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -98,6 +98,9 @@
 	topologyVersion uint64
 	// confirmation tells when catalog was known to be the newest.
 	confirmation access.Confirmation
+	// catalogFetch and upstreamsFetch fetch what peers offer.
+	catalogFetch   tableFetch
+	upstreamsFetch tableFetch
 
 	// The fields below belong to an instance that is no member. observing is set
 	// while a query is in progress, and observedAt is when the last one that was
@@ -140,10 +143,13 @@
 		servedUntil:    make(map[model.GroupID]time.Duration),
 		reportedUsable: -1,
 		observedAt:     -observeInterval,
+		catalogFetch:   tableFetch{table: "configuration"},
+		upstreamsFetch: tableFetch{table: "databases"},
 	}
 	l.sharedHeadRead = share.NewPaced(l.paceHeadReads, l.readHeadOnce)
 	l.followsTables.Store(config.Failover.FirstReadDelay == 0)
 	l.latest.Store(&Snapshot{Catalog: &catalog.Catalog{}})
+	l.served.Store(&servedTables{})
 	return l, nil
 }
 
--- a/pkg/coordination/region/loop_test.go
+++ b/pkg/coordination/region/loop_test.go
@@ -16,6 +16,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/transfer"
 )
 
 // feed is a region.Feed in memory.
@@ -124,6 +125,10 @@
 	return nil, errBad
 }
 
+func (unavailable) FetchPart(context.Context, model.InstanceID, transfer.Digest, int) ([]byte, error) {
+	return nil, errBad
+}
+
 // upstreams answers probes. The upstream with the address "first" is primary.
 type upstreams struct{}
 
--- a/pkg/coordination/region/narrowlink_test.go
+++ b/pkg/coordination/region/narrowlink_test.go
@@ -21,6 +21,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/transfer"
 )
 
 // inVirtualTime runs work in a bubble in which time passes only while all
@@ -99,6 +100,9 @@
 	// streams keep the answers of each member in order, as the streams of mesh
 	// sessions do.
 	streams map[model.InstanceID]chan struct{}
+	// partsLeft holds the members that fail after a number of parts.
+	partsLeft map[model.InstanceID]int
+	parts     int
 }
 
 func newNarrowPeers(ids []model.InstanceID, member *region.Loop, link *narrowLink) *narrowPeers {
@@ -120,6 +124,21 @@
 	return reply, p.deliver(ctx, to, meshlink.EncodeRegionAnswer(reply, known))
 }
 
+func (p *narrowPeers) FetchPart(ctx context.Context, from model.InstanceID, digest transfer.Digest, offset int) ([]byte, error) {
+	if left, fails := p.partsLeft[from]; fails {
+		if left == 0 {
+			return nil, errBad
+		}
+		p.partsLeft[from]--
+	}
+	part, err := p.member.AnswerPart(digest, offset)
+	if err != nil {
+		return nil, err
+	}
+	p.parts++
+	return part, p.deliver(ctx, from, meshlink.EncodePart(part))
+}
+
 // deliver waits until an answer has arrived, or until ctx ends. The answer arrives
 // in any case.
 func (p *narrowPeers) deliver(ctx context.Context, from model.InstanceID, answer proto.Message) error {
@@ -220,6 +239,39 @@
 		})
 	})
 
+	It("goes on with another member where a transfer was interrupted", func() {
+		inVirtualTime(func() {
+			table, heads := &feed{}, &headStore{head: rowWith(members...)}
+			putConfiguration(table, 1, manyRoutes)
+			member := startVirtual(members[0], table, unavailable{}, heads, full)
+			defer member.Close()
+			expectVersion(member, 1, applyTime)
+			peers := newNarrowPeers(members, member, newNarrowLink(10))
+			peers.partsLeft = map[model.InstanceID]int{"m1": 1, "m2": 1, "m3": 1}
+			observer := startVirtual("o1", &feed{}, peers, heads, full)
+			defer observer.Close()
+			expectVersion(observer, 1, applyTime)
+			reply, err := member.AnswerStateQuery(context.Background(), region.StateQuery{Observer: true, TakesOffers: true})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(peers.parts).To(Equal((reply.CatalogOffer.Size + transfer.PartBytes - 1) / transfer.PartBytes))
+		})
+	})
+
+	It("sends a large configuration whole to an instance that takes no offers", func() {
+		inVirtualTime(func() {
+			table := &feed{}
+			putConfiguration(table, 1, manyRoutes)
+			member := startVirtual(members[0], table, unavailable{}, &headStore{head: rowWith(members...)}, full)
+			defer member.Close()
+			expectVersion(member, 1, applyTime)
+			expectWithin(applyTime, "the members are known", func() bool { return member.Snapshot().View.Head != nil })
+			reply, err := member.AnswerStateQuery(context.Background(), region.StateQuery{Observer: true})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.CatalogOffer).To(BeNil())
+			Expect(len(reply.Catalog)).To(BeNumerically(">", 100*manyRoutes))
+		})
+	})
+
 	It("reads a large configuration from the store in time", func() {
 		inVirtualTime(func() {
 			table := &feed{}
--- a/pkg/coordination/region/observer.go
+++ b/pkg/coordination/region/observer.go
@@ -43,7 +43,7 @@
 		return
 	}
 	l.observing = true
-	query := StateQuery{Head: l.view.Head, UpstreamsVersion: l.upstreamsVersion, Observer: true}
+	query := StateQuery{Head: l.view.Head, UpstreamsVersion: l.upstreamsVersion, Observer: true, TakesOffers: true}
 	if l.catalog != nil {
 		query.CatalogVersion = l.catalog.Version
 	}
@@ -155,7 +155,7 @@
 	}
 	l.peerSuspects = reply.Suspects
 	l.peerCutOff = reply.CutOff
-	l.applyTables(sentAt, reply)
+	l.applyTables(sentAt, member, reply)
 	l.step(failover.PeerReceived{From: member, Message: failover.HeadSent{Head: reply.Head}})
 }
 
--- a/pkg/coordination/region/ports.go
+++ b/pkg/coordination/region/ports.go
@@ -9,6 +9,7 @@
 	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/transfer"
 )
 
 // ErrHistoryGone means that the store no longer keeps the changes since the
@@ -100,6 +101,8 @@
 	FetchHead(ctx context.Context) (*model.Head, error)
 	// QueryState queries the reader, the peer that reads the store for others.
 	QueryState(ctx context.Context, reader model.InstanceID, query StateQuery) (*StateReply, error)
+	// FetchPart returns the part of a table that the peer has offered.
+	FetchPart(ctx context.Context, from model.InstanceID, digest transfer.Digest, offset int) ([]byte, error)
 }
 
 // Clock returns the time since the start of the process. It also advances while
--- a/pkg/coordination/region/reader.go
+++ b/pkg/coordination/region/reader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -50,6 +48,8 @@
 	// Urgent asks for an immediate read of the head row, before
 	// minHeadReadInterval has passed.
 	Urgent bool
+	// TakesOffers is set by an instance that can fetch tables in parts.
+	TakesOffers bool
 	// Observer is set by an instance that is no member. It gets what the queried
 	// instance knows, without a read of the head row.
 	Observer bool
@@ -64,11 +64,14 @@
 	// Current is set if the reader follows both tables or, in the reply to an
 	// observer, if it has them from a reader that does.
 	Current bool
-	// Catalog is the configuration as JSON; nil if the sender has the newest.
-	Catalog []byte
+	// Catalog is the configuration as JSON; nil if the sender has the newest, or
+	// gets CatalogOffer instead.
+	Catalog      []byte
+	CatalogOffer *TableOffer
 	// Upstreams is the list of upstreams as JSON; nil if the sender has the
-	// newest.
+	// newest, or gets UpstreamsOffer instead.
 	Upstreams        []byte
+	UpstreamsOffer   *TableOffer
 	UpstreamsVersion int64
 	// Suspects holds the members that the queried one does not hear from. It is
 	// set for observers only.
@@ -82,33 +85,6 @@
 	Confirmed       bool
 }
 
-// servedTables holds the tables as this instance sends them to peers. It is
-// immutable, except that encodeOnce fills in the JSON.
-type servedTables struct {
-	catalog   *catalog.Catalog
-	upstreams []catalog.Upstream
-	// version is the version of the newest change of the upstreams.
-	version int64
-
-	encode        sync.Once
-	catalogJSON   []byte
-	upstreamsJSON []byte
-	err           error
-}
-
-// encodeOnce encodes the tables on the first call.
-func (t *servedTables) encodeOnce() error {
-	t.encode.Do(func() {
-		if t.catalog != nil {
-			t.catalogJSON, t.err = json.Marshal(t.catalog)
-		}
-		if t.err == nil {
-			t.upstreamsJSON, t.err = json.Marshal(t.upstreams)
-		}
-	})
-	return t.err
-}
-
 // currentReader returns the instance that reads the store for the region: the
 // first live member that is not cut off and hasn't failed within
 // readerRetryDelay.
@@ -195,62 +171,12 @@
 	return headResult{head: head, err: err}
 }
 
-// handleReply applies the reply to a query that was sent at started.
-func (l *Loop) handleReply(started time.Duration, reply *StateReply) {
-	l.applyTables(started, reply)
+// handleReply applies the reply of a member to a query that was sent at started.
+func (l *Loop) handleReply(started time.Duration, from model.InstanceID, reply *StateReply) {
+	l.applyTables(started, from, reply)
 	l.step(failover.HeadRead{StartedAt: started, Head: reply.Head})
 }
 
-// applyTables adopts the tables in the reply to a query that was sent at
-// started.
-func (l *Loop) applyTables(started time.Duration, reply *StateReply) {
-	if reply.Current {
-		l.lastCurrentQueryAt = started
-	}
-	adopted := reply.Catalog == nil || l.applyPeerCatalog(reply.Catalog)
-	l.confirmFromPeer(started, reply, adopted)
-	if reply.Upstreams != nil && reply.UpstreamsVersion > l.upstreamsVersion {
-		l.applyPeerUpstreams(reply)
-	}
-}
-
-// applyPeerCatalog adopts the configuration in a reply, as JSON. It returns false
-// if that cannot be decoded.
-func (l *Loop) applyPeerCatalog(data []byte) bool {
-	offered := &catalog.Catalog{}
-	if err := json.Unmarshal(data, offered); err != nil {
-		l.logRejectedRow("configuration of a peer", Entry{}, err)
-		return false
-	}
-	l.adoptCatalog(offered)
-	return true
-}
-
-// applyPeerUpstreams replaces the list of upstreams by the one in a reply.
-func (l *Loop) applyPeerUpstreams(reply *StateReply) {
-	var all []catalog.Upstream
-	if err := json.Unmarshal(reply.Upstreams, &all); err != nil {
-		l.logRejectedRow("databases of a peer", Entry{}, err)
-		return
-	}
-	l.upstreamsVersion = reply.UpstreamsVersion
-	l.logUpstreamChanges(all)
-	if l.registry.replace(l.now(), all) {
-		l.updateGroupSpecs()
-	}
-	l.updateServedTables()
-	l.publish()
-}
-
-// updateServedTables makes the present state of the tables available to peers.
-func (l *Loop) updateServedTables() {
-	l.served.Store(&servedTables{
-		catalog:   l.catalog,
-		upstreams: l.registry.present(),
-		version:   l.upstreamsVersion,
-	})
-}
-
 // followsBothTables reports whether the store has answered recently for both
 // tables.
 func (l *Loop) followsBothTables() bool {
@@ -276,22 +202,3 @@
 	l.addConfirmation(reply, l.latest.Load())
 	return reply, l.addTables(reply, known)
 }
-
-// addTables adds the tables to a reply as far as the peer does not know them.
-func (l *Loop) addTables(reply *StateReply, known StateQuery) error {
-	held := l.served.Load()
-	if held == nil {
-		return nil
-	}
-	if err := held.encodeOnce(); err != nil {
-		return err
-	}
-	if held.catalog != nil && held.catalog.Version > known.CatalogVersion {
-		reply.Catalog = held.catalogJSON
-	}
-	if held.version > known.UpstreamsVersion {
-		reply.Upstreams = held.upstreamsJSON
-		reply.UpstreamsVersion = held.version
-	}
-	return nil
-}
--- a/pkg/coordination/region/tables.go
+++ b/pkg/coordination/region/tables.go
@@ -47,7 +47,8 @@
 	events.Log(l.ctx, l.config.Logger, events.CatalogAdopted,
 		slog.Uint64("version", uint64(newest.Version)),
 		slog.Int("routes", len(newest.Routes)), slog.Int("groups", len(newest.Groups)))
-	l.updateServedTables()
+	l.confirmation.Activated(newest.Version)
+	l.serveCatalog()
 	l.updateGroupSpecs()
 	l.publish()
 }
@@ -79,7 +80,7 @@
 		}
 	}
 	l.upstreamsVersion = max(l.upstreamsVersion, changed.version)
-	l.updateServedTables()
+	l.serveUpstreams()
 	if different {
 		l.updateGroupSpecs()
 		l.publish()
--- a/pkg/events/hosted.go
+++ b/pkg/events/hosted.go
@@ -242,4 +242,19 @@
 		Meaning: "A body that the store was sending did not arrive to its end: the call, the bytes that had arrived and the time that they took. At most one line a second.",
 		Action:  "If the bytes are many: the link is too narrow for the answer within the time limit.",
 	})
+	// TableFetched is event 558.
+	TableFetched = define(Event{
+		Number:  558,
+		Name:    "table fetched from a peer",
+		Level:   slog.LevelInfo,
+		Meaning: "All parts of a table that a peer had offered have arrived: the table, its version, the bytes sent and the time since the first part was asked for.",
+	})
+	// TableFetchInterrupted is event 559.
+	TableFetchInterrupted = define(Event{
+		Number:  559,
+		Name:    "fetch of a table interrupted",
+		Level:   slog.LevelInfo,
+		Meaning: "A peer did not deliver a part of a table: the bytes that have arrived so far. The fetch goes on with the next peer that offers the same data.",
+		Action:  "If it lasts on one instance: check the machine's link.",
+	})
 )
--- a/pkg/instance/hostedpeer.go
+++ b/pkg/instance/hostedpeer.go
@@ -60,6 +60,10 @@
 		go p.answerRegion(ask, reply)
 		return
 	}
+	if ask := message.GetPartAsk(); ask != nil {
+		go p.answerPart(ask, reply)
+		return
+	}
 	if report := message.GetUsageReport(); report != nil {
 		p.rates.Receive(from, meshlink.DecodeUsage(report))
 		return
@@ -84,6 +88,16 @@
 	reply(meshlink.EncodeRegionAnswer(answer, model.RowVersion(ask.GetHeadVersion())))
 }
 
+// answerPart answers a peer that fetches a table. The answer is empty if this
+// instance does not have the part.
+func (p hostedPeer) answerPart(ask *meshpb.PartAsk, reply func(*meshpb.Envelope)) {
+	var part []byte
+	if digest, offset, valid := meshlink.DecodePartAsk(ask); valid {
+		part, _ = p.loop.AnswerPart(digest, offset)
+	}
+	reply(meshlink.EncodePart(part))
+}
+
 // HandleForward executes a unit of work that a peer forwards.
 func (p hostedPeer) HandleForward(_ context.Context, from model.InstanceID, _ *meshpb.ForwardOpen, conn net.Conn) {
 	p.front.ServeForwarded(from, conn)
--- a/pkg/protocol/meshlink/region.go
+++ b/pkg/protocol/meshlink/region.go
@@ -12,7 +12,7 @@
 // EncodeRegionAsk returns the call to the instance that reads the metadata store
 // for others.
 func EncodeRegionAsk(query region.StateQuery) *meshpb.Envelope {
-	ask := &meshpb.RegionAsk{CatalogVersion: uint64(query.CatalogVersion), UpstreamsVersion: query.UpstreamsVersion, Urgent: query.Urgent, Observer: query.Observer}
+	ask := &meshpb.RegionAsk{CatalogVersion: uint64(query.CatalogVersion), UpstreamsVersion: query.UpstreamsVersion, Urgent: query.Urgent, Observer: query.Observer, TakesOffers: query.TakesOffers}
 	if query.Head != nil {
 		ask.HeadVersion = int64(query.Head.Version)
 	}
@@ -28,6 +28,7 @@
 		UpstreamsVersion: ask.GetUpstreamsVersion(),
 		Urgent:           ask.GetUrgent(),
 		Observer:         ask.GetObserver(),
+		TakesOffers:      ask.GetTakesOffers(),
 	}
 }
 
@@ -48,6 +49,8 @@
 		CutOff:           encodeIDs(reply.CutOff),
 
 		ConfirmationAgeMs: encodeConfirmationAge(reply),
+		CatalogOffer:      encodeOffer(reply.CatalogOffer),
+		UpstreamsOffer:    encodeOffer(reply.UpstreamsOffer),
 	}}}
 }
 
@@ -74,6 +77,12 @@
 	if len(answer.GetUpstreams()) > 0 {
 		reply.Upstreams = answer.GetUpstreams()
 	}
+	if reply.CatalogOffer, err = decodeOffer(answer.GetCatalogOffer()); err != nil {
+		return nil, err
+	}
+	if reply.UpstreamsOffer, err = decodeOffer(answer.GetUpstreamsOffer()); err != nil {
+		return nil, err
+	}
 	return reply, nil
 }
 
--- a/pkg/protocol/meshlink/region_test.go
+++ b/pkg/protocol/meshlink/region_test.go
@@ -10,13 +10,14 @@
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/transfer"
 )
 
 var _ = Describe("the query to the reader of a region", func() {
 	known := &model.Head{Version: 7}
 
 	It("is unchanged after encoding and decoding", func() {
-		query := region.StateQuery{Head: known, CatalogVersion: 3, UpstreamsVersion: 9, Urgent: true}
+		query := region.StateQuery{Head: known, CatalogVersion: 3, UpstreamsVersion: 9, Urgent: true, TakesOffers: true}
 		ask := meshlink.EncodeRegionAsk(query).GetRegionAsk()
 		Expect(meshlink.DecodeRegionAsk(ask)).To(Equal(query))
 	})
@@ -30,7 +31,14 @@
 			Expect(decoded.Catalog).To(Equal(reply.Catalog))
 			Expect(decoded.Upstreams).To(Equal(reply.Upstreams))
 			Expect(decoded.UpstreamsVersion).To(Equal(reply.UpstreamsVersion))
+			Expect(decoded.CatalogOffer).To(Equal(reply.CatalogOffer))
+			Expect(decoded.UpstreamsOffer).To(Equal(reply.UpstreamsOffer))
 		},
+		Entry("offers", region.StateReply{
+			Head: &model.Head{Version: 7}, Current: true, UpstreamsVersion: 12,
+			CatalogOffer:   &region.TableOffer{Version: 15, Offer: transfer.Offer{Digest: transfer.Digest{1, 2}, Size: 70_000}},
+			UpstreamsOffer: &region.TableOffer{Version: 12, Offer: transfer.Offer{Digest: transfer.Digest{3}, Size: 1}},
+		}, known),
 		Entry("nothing newer", region.StateReply{Head: &model.Head{Version: 7}, Current: true}, known),
 		Entry("no head row", region.StateReply{}, nil),
 		Entry("all parts newer", region.StateReply{
--- a/pkg/state/access/confirmation.go
+++ b/pkg/state/access/confirmation.go
@@ -21,6 +21,11 @@
 	shown catalog.Version
 	// row is the version of that row.
 	row int64
+	// offered is the version of the configuration that a peer has confirmed and that
+	// is not active yet, and offeredAt the time of that confirmation; 0 if there is
+	// none.
+	offered   catalog.Version
+	offeredAt time.Duration
 }
 
 // At returns the time at which the configuration was known to be the newest, zero
@@ -58,6 +63,25 @@
 // or a newer one, must be active.
 func (c *Confirmation) PeerConfirmed(sentAt, age time.Duration) { c.advance(sentAt - age) }
 
+// PeerOffered is PeerConfirmed for a configuration that is not active yet. The
+// confirmation counts once Activated is called for its version or a newer one. A
+// version that is already awaited is not replaced by a newer one, which may be
+// superseded in turn before it is active.
+func (c *Confirmation) PeerOffered(sentAt, age time.Duration, version catalog.Version) {
+	if c.offered == 0 || c.offered == version {
+		c.offered, c.offeredAt = version, sentAt-age
+	}
+}
+
+// Activated records that a configuration has become active.
+func (c *Confirmation) Activated(version catalog.Version) {
+	if c.offered == 0 || version < c.offered {
+		return
+	}
+	c.offered = 0
+	c.advance(c.offeredAt)
+}
+
 // advance sets the time, unless a later one is known.
 func (c *Confirmation) advance(at time.Duration) {
 	if at == 0 {
--- a/pkg/state/access/confirmation_test.go
+++ b/pkg/state/access/confirmation_test.go
@@ -222,6 +222,27 @@
 		Expect(c.At()).To(Equal(4 * s))
 	})
 
+	It("counts what a peer has confirmed once that is active, or a newer one", func() {
+		var c access.Confirmation
+		c.PeerOffered(5*s, s, 15)
+		Expect(c.At()).To(BeZero())
+		c.Activated(14)
+		Expect(c.At()).To(BeZero())
+		c.Activated(16)
+		Expect(c.At()).To(Equal(4 * s))
+	})
+
+	// With a change each third of a second, the awaited one would always be the next.
+	It("does not await a newer one in place of the one that is on its way", func() {
+		var c access.Confirmation
+		c.PeerOffered(5*s, s, 15)
+		c.PeerOffered(6*s, s, 16)
+		c.Activated(15)
+		Expect(c.At()).To(Equal(4 * s))
+		c.Activated(16)
+		Expect(c.At()).To(Equal(4 * s))
+	})
+
 	It("may be of a time before the process, and at zero", func() {
 		var c access.Confirmation
 		c.PeerConfirmed(s, 2*s)
--- a/pkg/transport/meshpeer/meshpeer.go
+++ b/pkg/transport/meshpeer/meshpeer.go
@@ -18,6 +18,7 @@
 	"gypsumdock/pkg/state/failover"
 	"gypsumdock/pkg/state/marks"
 	"gypsumdock/pkg/state/model"
+	"gypsumdock/pkg/state/transfer"
 )
 
 // ErrNoAnswer is returned when a peer answered with a failure or with a message
@@ -170,6 +171,15 @@
 	return meshlink.DecodeRegionAnswer(answer, question.Head)
 }
 
+// FetchPart returns the part of a table that the peer has offered.
+func (p *Peers) FetchPart(ctx context.Context, from model.InstanceID, digest transfer.Digest, offset int) ([]byte, error) {
+	answer, err := p.call(ctx, from, meshlink.EncodePartAsk(digest, offset))
+	if err != nil {
+		return nil, err
+	}
+	return meshlink.DecodePart(answer)
+}
+
 // StoreMark stores a session's mark at one of its homes.
 func (p *Peers) StoreMark(
 	ctx context.Context, home marks.Target, key marks.Key, mark model.Mark,
