An answer of the store that is arriving is waited for, and not asked for again

Cause: the time limit of a call was for the whole answer, 1.5 s, and a complete read was started anew each 0.25 s, up to eight times side by side, while the first answers were arriving. 4,200 routes are 1.1 MB as the store sends them.

An attempt whose answer has begun to arrive ends the others and holds further ones back (hedge.Answering).

--- a/pkg/coordination/hedge/hedge_test.go
+++ b/pkg/coordination/hedge/hedge_test.go
@@ -64,6 +64,36 @@
 		Expect(value).To(Equal(7))
 	})
 
+	// A large answer was asked for again and again while it was arriving.
+	It("starts no attempt while an answer is arriving, and ends those without one", func(ctx SpecContext) {
+		var attempts atomic.Int64
+		ended := make(chan struct{})
+		value, err := hedge.Do(ctx, quick, func(ctx context.Context) (int64, error) {
+			attempt := attempts.Add(1)
+			if attempt == 1 {
+				<-ctx.Done()
+				close(ended)
+				return 0, ctx.Err()
+			}
+			hedge.Answering(ctx)
+			<-ended
+			// Attempts would be due many times while the answer arrives.
+			time.Sleep(20 * quick.Interval)
+			return attempt, ctx.Err()
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(value).To(BeEquivalentTo(2))
+		Expect(attempts.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("returns the error of an answer that does not arrive to its end", func(ctx SpecContext) {
+		_, err := hedge.Do(ctx, never, func(ctx context.Context) (int, error) {
+			hedge.Answering(ctx)
+			return 0, errRefused
+		})
+		Expect(err).To(MatchError(errRefused))
+	})
+
 	It("starts no more attempts than allowed, and ends with its context", func(ctx SpecContext) {
 		var attempts atomic.Int64
 		bounded, cancel := context.WithCancel(ctx)
--- a/pkg/coordination/region/narrowlink_test.go
+++ b/pkg/coordination/region/narrowlink_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"gypsumdock/pkg/coordination/hedge"
 	"gypsumdock/pkg/coordination/region"
 	"gypsumdock/pkg/protocol/meshlink"
 	"gypsumdock/pkg/state/catalog"
@@ -84,6 +85,7 @@
 }
 
 func (f narrowFeed) receive(ctx context.Context, entries []region.Entry) error {
+	hedge.Answering(ctx)
 	size := 0
 	for _, entry := range entries {
 		size += len(entry.Value) * 4 / 3
