A refusal by a configuration that may have been replaced is not final

What callers saw: NODATABASE for databases that had been added more than 5 s before, on instances that had not been able to confirm their configuration for as long, and that said so in event 536.

Cause: an unknown database and an unknown access key at the start of a session were refused for good, whatever the age of the confirmation.

Change: while the confirmation is older than configuration_apply_ms, both are refused at once as not run, with a time to come back. The setting is read from the bounds.

Why it works: a request that arrives within that time of a confirmation came no later than the bound after the acknowledgement of any newer version.

--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -164,7 +164,7 @@
 	h.front = textfront.New(textfront.Config{
 		Listener: callers, Codec: wire, Dispatch: h.dispatch, Pools: h.pools, Forwarder: h.forward, Logger: h.logger, Stop: h.stopTimes(),
 		Busy: newProcessorUse(h.settings.Cores).Permille,
-		Self: h.self.ID, RevocationTime: h.settings.RevocationTime, Rates: h.rates,
+		Self: h.self.ID, ApplyTime: h.settings.ApplyTime, RevocationTime: h.settings.RevocationTime, Rates: h.rates,
 	})
 	h.mesh = mesh.New(mesh.Config{
 		Self: h.self, Region: h.settings.Region, Listener: peerListener, Handler: newHostedPeer(h), Logger: h.logger,
--- a/pkg/transport/textfront/access.go
+++ b/pkg/transport/textfront/access.go
@@ -13,10 +13,6 @@
 	"gypsumdock/pkg/telemetry"
 )
 
-// unconfirmedRetryAfter is the retry time given to a caller when no server could
-// tell whether its key is valid. By then the members have asked the reader again.
-const unconfirmedRetryAfter = time.Second
-
 // deniedFailure is the answer to a caller whose key is not valid. It does not say
 // why, so that it tells nothing about accounts.
 var deniedFailure = statement.Failure{Code: statement.FailDenied, Text: "not run: the access key is not valid"}
@@ -207,9 +203,7 @@
 	}
 	f.recorder().forwardFailed(f, request, statement.FailOverloaded, "not_run", "no server can confirm the access key")
 	s := f.session
-	s.out = s.codec().AppendFailure(s.out, statement.Failure{
-		Code: statement.FailOverloaded, Text: notRunText("the configuration is not confirmed", unconfirmedRetryAfter),
-	})
+	s.out = s.codec().AppendFailure(s.out, unconfirmedFailure)
 }
 
 // deny tells the caller that a server found its key invalid.
--- a/pkg/transport/textfront/access_test.go
+++ b/pkg/transport/textfront/access_test.go
@@ -131,6 +131,46 @@
 	})
 })
 
+// Guards against a final answer from a configuration that was replaced: databases that
+// had been added were said not to exist.
+var _ = Describe("an instance whose configuration may have been replaced", func() {
+	const unconfirmed = "ERROR BUSY not run: the configuration is not confirmed, retry after 1000 ms"
+
+	unconfirmedFor := func(age time.Duration) *fixture {
+		f := newFixture(catalog.Route{}, startUpstream())
+		f.server.config.ApplyTime = testRevocationTime
+		f.useAccounts(2, testKey)
+		f.confirmedBefore(age)
+		return f
+	}
+
+	DescribeTable("does not refuse a start for good",
+		func(line string) {
+			f := unconfirmedFor(testRevocationTime + time.Second)
+			Expect(f.start(line)).To(Equal(unconfirmed + "\r\nclosed"))
+		},
+		Entry("of an unknown database", "START unknown "+testKey),
+		Entry("with an unknown key", "START "+name+" you"),
+	)
+
+	It("does not refuse a statement for good, of a session whose route is gone", func() {
+		f := unconfirmedFor(0)
+		caller := f.dial()
+		f.publish(func(changed *region.Snapshot) {
+			changed.Catalog = catalog.New(3, nil, changed.Catalog.Groups, changed.Catalog.Limits)
+			changed.ConfirmedAt = f.dispatch.Now() - testRevocationTime - time.Second
+		})
+		Expect(caller.query("READ a")).To(HavePrefix(unconfirmed))
+		Expect(caller.query("BEGIN")).To(HavePrefix(unconfirmed))
+	})
+
+	It("refuses for good while it is confirmed", func() {
+		f := unconfirmedFor(0)
+		Expect(f.start("START unknown " + testKey)).To(HavePrefix("ERROR NODATABASE"))
+		Expect(f.start("START " + name + " you")).To(HavePrefix("ERROR DENIED"))
+	})
+})
+
 const denied = "ERROR DENIED not run: the access key is not valid"
 
 var _ = Describe("an open session", func() {
--- a/pkg/transport/textfront/server.go
+++ b/pkg/transport/textfront/server.go
@@ -36,6 +36,9 @@
 	// Busy returns the part of its processor share that this instance uses, in
 	// thousandths; zero if it is unknown. It may be nil.
 	Busy func() uint32
+	// ApplyTime is the time within which a new configuration must be in force; 0 if
+	// that is not required.
+	ApplyTime time.Duration
 	// RevocationTime is the time after which an access key that was removed from
 	// the configuration must have no effect; 0 if that is not required.
 	RevocationTime time.Duration
--- a/pkg/transport/textfront/start.go
+++ b/pkg/transport/textfront/start.go
@@ -54,7 +54,8 @@
 		return false
 	}
 	if _, found := s.server.config.Dispatch.Catalog().Route(start.Database); !found {
-		s.refuse(statement.FailNoDatabase, "no route to this database")
+		failure := s.unknownDatabase()
+		s.refuse(failure.Code, failure.Text)
 		return false
 	}
 	if !s.admitStart() {
@@ -111,14 +112,15 @@
 	current := s.server.config.Dispatch.Catalog()
 	route, _ := current.Route(s.start.Database)
 	if route != nil && s.start.KeyFault != "" && current.NeedsKey(route) {
-		s.server.recorder.startDenied(s.start, access.KeyUnknown, current.Version)
+		s.server.recorder.startDenied(s.start, statement.FailDenied, access.KeyUnknown, current.Version)
 		s.sendRefusal(statement.Failure{Code: statement.FailDenied, Text: s.start.KeyFault})
 		return false
 	}
 	decision := access.Identify(access.Request{Catalog: current, Route: route, Key: s.start.Key})
 	if decision.Reason != access.Allowed {
-		s.server.recorder.startDenied(s.start, decision.Reason, current.Version)
-		s.sendRefusal(deniedFailure)
+		failure := s.orUnconfirmed(deniedFailure)
+		s.server.recorder.startDenied(s.start, failure.Code, decision.Reason, current.Version)
+		s.sendRefusal(failure)
 		return false
 	}
 	s.caller = decision.Caller
@@ -147,10 +149,10 @@
 }
 
 // startDenied records a session that was refused by its access key.
-func (r *recorder) startDenied(start statement.Start, reason access.Reason, version catalog.Version) {
+func (r *recorder) startDenied(start statement.Start, code statement.FailureCode, reason access.Reason, version catalog.Version) {
 	telemetry.AccessRefused.With(reason.String()).Inc()
 	r.log(events.RequestFailed, &r.failedLines,
 		slog.String("database", start.Database), slog.String("kind", "start"),
-		slog.String("code", statement.FailDenied.String()), slog.String("outcome", "not_run"),
+		slog.String("code", code.String()), slog.String("outcome", "not_run"),
 		slog.String("cause", reason.String()), slog.Uint64("configuration", uint64(version)))
 }
--- a/pkg/transport/textfront/statements.go
+++ b/pkg/transport/textfront/statements.go
@@ -70,7 +70,8 @@
 	}
 	route, found := s.route()
 	if !found {
-		s.fail(request, statement.FailNoDatabase, "no route to this database")
+		failure := s.unknownDatabase()
+		s.fail(request, failure.Code, failure.Text)
 		return
 	}
 	if s.mustForward(route) {
@@ -113,7 +114,8 @@
 	}
 	route, found := s.route()
 	if !found {
-		s.fail(request, statement.FailNoDatabase, "no route to this database")
+		failure := s.unknownDatabase()
+		s.fail(request, failure.Code, failure.Text)
 		return
 	}
 	if s.mustForward(route) {
