Region: the versions of a served table in one type

Cause: superseded versions of both tables shared one list, so that changes of upstreams could push out a configuration that a peer was still fetching, and a part of an unknown table had every version encoded.

Change: servedVersions holds the versions of one table; a part is looked up among those that were offered.

--- a/pkg/coordination/region/served.go
+++ b/pkg/coordination/region/served.go
@@ -2,12 +2,11 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
-	"gypsumdock/pkg/state/catalog"
 	"gypsumdock/pkg/state/transfer"
 )
 
@@ -16,7 +15,7 @@
 // reply arrives in time over any link and delays nothing behind it.
 const maxInlineBytes = transfer.PartBytes
 
-// maxRecentTables is the number of superseded versions of the tables that peers may
+// maxRecentTables is the number of superseded versions of a table that peers may
 // still be fetching.
 const maxRecentTables = 4
 
@@ -39,110 +38,125 @@
 
 	encode sync.Once
 	json   []byte
-	// blob is nil if the table is sent whole to any peer.
-	blob *transfer.Blob
-	err  error
+	err    error
+	// offered is nil before the table is encoded, and for a table that is small
+	// enough to be sent whole.
+	offered atomic.Pointer[transfer.Blob]
 }
 
 // encodeOnce encodes the table on the first call.
 func (t *servedTable) encodeOnce() error {
-	t.encode.Do(func() {
-		t.json, t.err = json.Marshal(t.content)
-		if t.err == nil && len(t.json) > maxInlineBytes {
-			t.blob, t.err = transfer.Encode(t.json)
-		}
-	})
+	t.encode.Do(func() { t.err = t.encodeTable() })
 	return t.err
 }
 
-// isOffered reports whether a peer that takes offers gets one for the table. The
-// table must be encoded.
-func (t *servedTable) isOffered(takesOffers bool) bool { return takesOffers && t.blob != nil }
-
-func (t *servedTable) offer() *TableOffer {
-	return &TableOffer{Version: t.version, Offer: t.blob.Offer()}
+func (t *servedTable) encodeTable() error {
+	encoded, err := json.Marshal(t.content)
+	if err != nil {
+		return errors.Wrap(err, "encode table")
+	}
+	t.json = encoded
+	if len(encoded) <= maxInlineBytes {
+		return nil
+	}
+	blob, err := transfer.Encode(encoded)
+	t.offered.Store(blob)
+	return err
 }
 
-// servedTables holds the tables as this instance sends them to peers. It is
-// immutable.
-type servedTables struct {
-	// catalog is nil before the first configuration.
-	catalog   *servedTable
-	upstreams *servedTable
-	// recent holds versions that were superseded, the newest first.
+// servedVersions holds the versions of one table. It is immutable.
+type servedVersions struct {
+	// newest is nil before the table was read.
+	newest *servedTable
+	// recent holds the versions that were superseded, the newest first.
 	recent []*servedTable
 }
 
-// withCatalog returns the tables with another configuration.
-func (t *servedTables) withCatalog(newest *catalog.Catalog) *servedTables {
-	table := &servedTable{version: int64(newest.Version), content: newest}
-	return &servedTables{catalog: table, upstreams: t.upstreams, recent: t.withRecent(t.catalog)}
-}
-
-// withUpstreams returns the tables with another list of upstreams.
-func (t *servedTables) withUpstreams(version int64, all []catalog.Upstream) *servedTables {
-	table := &servedTable{version: version, content: all}
-	return &servedTables{catalog: t.catalog, upstreams: table, recent: t.withRecent(t.upstreams)}
+// with returns the versions with a further one.
+func (v servedVersions) with(version int64, content any) servedVersions {
+	next := servedVersions{newest: &servedTable{version: version, content: content}}
+	if v.newest != nil {
+		recent := append([]*servedTable{v.newest}, v.recent...)
+		next.recent = recent[:min(len(recent), maxRecentTables)]
+	}
+	return next
 }
 
-func (t *servedTables) withRecent(superseded *servedTable) []*servedTable {
-	if superseded == nil {
-		return t.recent
+// forPeer returns the newest version as JSON or, if it is large and the peer takes
+// offers, its offer. It returns neither if the peer knows the version.
+func (v servedVersions) forPeer(known int64, takesOffers bool) ([]byte, *TableOffer, error) {
+	if v.newest == nil || v.newest.version <= known {
+		return nil, nil, nil
+	}
+	if err := v.newest.encodeOnce(); err != nil {
+		return nil, nil, err
+	}
+	if blob := v.newest.offered.Load(); blob != nil && takesOffers {
+		return nil, &TableOffer{Version: v.newest.version, Offer: blob.Offer()}, nil
 	}
-	recent := append([]*servedTable{superseded}, t.recent...)
-	return recent[:min(len(recent), maxRecentTables)]
+	return v.newest.json, nil, nil
 }
 
-// part returns the part of an offered table that begins at the offset.
-func (t *servedTables) part(digest transfer.Digest, offset int) ([]byte, error) {
-	for _, table := range slices.Concat([]*servedTable{t.catalog, t.upstreams}, t.recent) {
-		if table == nil || table.encodeOnce() != nil || table.blob == nil || table.blob.Offer().Digest != digest {
+// part returns the part of an offered version that begins at the offset, or nil.
+func (v servedVersions) part(digest transfer.Digest, offset int) []byte {
+	for _, table := range append([]*servedTable{v.newest}, v.recent...) {
+		if table == nil {
 			continue
 		}
-		if part := table.blob.Part(offset); len(part) > 0 {
-			return part, nil
+		if blob := table.offered.Load(); blob != nil && blob.Offer().Digest == digest {
+			return blob.Part(offset)
 		}
 	}
-	return nil, ErrPartGone
+	return nil
+}
+
+// servedTables holds the tables as this instance sends them to peers. It is
+// immutable.
+type servedTables struct {
+	catalog   servedVersions
+	upstreams servedVersions
 }
 
 // AnswerPart returns the part of a table that this instance has offered, or
 // ErrPartGone.
 func (l *Loop) AnswerPart(digest transfer.Digest, offset int) ([]byte, error) {
-	return l.served.Load().part(digest, offset)
+	held := l.served.Load()
+	for _, versions := range []servedVersions{held.catalog, held.upstreams} {
+		if part := versions.part(digest, offset); len(part) > 0 {
+			return part, nil
+		}
+	}
+	return nil, ErrPartGone
 }
 
 // serveCatalog makes the active configuration available to peers.
-func (l *Loop) serveCatalog() { l.served.Store(l.served.Load().withCatalog(l.catalog)) }
+func (l *Loop) serveCatalog() {
+	held := *l.served.Load()
+	held.catalog = held.catalog.with(int64(l.catalog.Version), l.catalog)
+	l.served.Store(&held)
+}
 
 // serveUpstreams makes the present list of upstreams available to peers.
 func (l *Loop) serveUpstreams() {
-	l.served.Store(l.served.Load().withUpstreams(l.upstreamsVersion, l.registry.present()))
+	held := *l.served.Load()
+	held.upstreams = held.upstreams.with(l.upstreamsVersion, l.registry.present())
+	l.served.Store(&held)
 }
 
 // addTables adds the tables to a reply as far as the peer does not know them.
 func (l *Loop) addTables(reply *StateReply, known StateQuery) error {
 	held := l.served.Load()
-	if table := held.catalog; table != nil && catalog.Version(table.version) > known.CatalogVersion {
-		if err := table.encodeOnce(); err != nil {
-			return err
-		}
-		if table.isOffered(known.TakesOffers) {
-			reply.CatalogOffer = table.offer()
-		} else {
-			reply.Catalog = table.json
-		}
+	var err error
+	reply.Catalog, reply.CatalogOffer, err = held.catalog.forPeer(int64(known.CatalogVersion), known.TakesOffers)
+	if err != nil {
+		return err
 	}
-	if table := held.upstreams; table != nil && table.version > known.UpstreamsVersion {
-		if err := table.encodeOnce(); err != nil {
-			return err
-		}
-		reply.UpstreamsVersion = table.version
-		if table.isOffered(known.TakesOffers) {
-			reply.UpstreamsOffer = table.offer()
-		} else {
-			reply.Upstreams = table.json
-		}
+	reply.Upstreams, reply.UpstreamsOffer, err = held.upstreams.forPeer(known.UpstreamsVersion, known.TakesOffers)
+	if err != nil {
+		return err
+	}
+	if reply.Upstreams != nil || reply.UpstreamsOffer != nil {
+		reply.UpstreamsVersion = held.upstreams.newest.version
 	}
 	return nil
 }
