Region: a fetch of a table knows its loop

Cause: the methods of tableFetch had the loop as a parameter throughout.

Change: it is a field; the failure of a transfer is a function of its own.

--- a/pkg/coordination/region/fetch.go
+++ b/pkg/coordination/region/fetch.go
@@ -19,6 +19,7 @@
 // transfer that fails goes on with the next peer that offers the same data. It is
 // used by the control goroutine, except that run has a goroutine of its own.
 type tableFetch struct {
+	loop *Loop
 	// table is the name in the log.
 	table string
 	// assembly is nil before the first offer.
@@ -33,31 +34,31 @@
 // control goroutine. It does nothing while a transfer is running: a version that is
 // superseded meanwhile is still an advance, and waiting for the newest one could take
 // for ever.
-func (f *tableFetch) start(l *Loop, from model.InstanceID, offer *TableOffer, deliver func(data []byte, version int64)) {
+func (f *tableFetch) start(from model.InstanceID, offer *TableOffer, deliver func(data []byte, version int64)) {
 	if f.running {
 		return
 	}
 	if f.assembly == nil || f.assembly.Offer() != offer.Offer {
 		assembly, err := transfer.NewAssembly(offer.Offer)
 		if err != nil {
-			f.logFailure(l, from, err)
+			f.logFailure(from, err)
 			return
 		}
 		f.assembly = assembly
-		f.startedAt = l.now()
+		f.startedAt = f.loop.now()
 	}
 	f.version = offer.Version
 	f.running = true
-	l.tasks.Go(func() {
-		data, err := f.run(l, from)
-		l.post(func() { f.ended(l, from, data, err, deliver) })
+	f.loop.tasks.Go(func() {
+		data, err := f.run(from)
+		f.loop.post(func() { f.ended(from, data, err, deliver) })
 	})
 }
 
 // run fetches the missing parts, and returns the data.
-func (f *tableFetch) run(l *Loop, from model.InstanceID) ([]byte, error) {
+func (f *tableFetch) run(from model.InstanceID) ([]byte, error) {
 	for !f.assembly.IsComplete() {
-		part, err := l.fetchPart(from, f.assembly.Offer().Digest, f.assembly.Offset())
+		part, err := f.loop.fetchPart(from, f.assembly.Offer().Digest, f.assembly.Offset())
 		if err != nil {
 			return nil, err
 		}
@@ -75,20 +76,13 @@
 }
 
 // ended processes the end of a transfer.
-func (f *tableFetch) ended(l *Loop, from model.InstanceID, data []byte, err error, deliver func([]byte, int64)) {
+func (f *tableFetch) ended(from model.InstanceID, data []byte, err error, deliver func([]byte, int64)) {
 	f.running = false
 	if err != nil {
-		f.logFailure(l, from, err)
-		if errors.Is(err, transfer.ErrCorrupt) || errors.Is(err, transfer.ErrTooLarge) {
-			f.assembly = nil
-		}
-		if !errors.Is(err, ErrPartGone) {
-			l.readerFailedAt[from] = l.now()
-		}
-		// An observer asks the next member at once.
-		l.observedAt = l.now() - observeInterval
+		f.failed(from, err)
 		return
 	}
+	l := f.loop
 	events.Log(l.ctx, l.config.Logger, events.TableFetched, slog.String("table", f.table),
 		slog.Int64("version", f.version), slog.String("peer", string(from)),
 		slog.Int("bytes", f.assembly.Offer().Size), slog.Duration("elapsed", l.now()-f.startedAt))
@@ -96,12 +90,26 @@
 	deliver(data, f.version)
 }
 
-func (f *tableFetch) logFailure(l *Loop, from model.InstanceID, err error) {
+// failed processes the failure of a transfer, and has an observer query the next
+// member at once.
+func (f *tableFetch) failed(from model.InstanceID, err error) {
+	f.logFailure(from, err)
+	if errors.Is(err, transfer.ErrCorrupt) || errors.Is(err, transfer.ErrTooLarge) {
+		f.assembly = nil
+	}
+	l := f.loop
+	if !errors.Is(err, ErrPartGone) {
+		l.readerFailedAt[from] = l.now()
+	}
+	l.observedAt = l.now() - observeInterval
+}
+
+func (f *tableFetch) logFailure(from model.InstanceID, err error) {
 	received := 0
 	if f.assembly != nil {
 		received = f.assembly.Offset()
 	}
-	events.Log(l.ctx, l.config.Logger, events.TableFetchInterrupted, slog.String("table", f.table),
+	events.Log(f.loop.ctx, f.loop.config.Logger, events.TableFetchInterrupted, slog.String("table", f.table),
 		slog.Int64("version", f.version), slog.String("peer", string(from)),
 		slog.Int("received", received), slog.Any("error", err))
 }
--- a/pkg/coordination/region/loop.go
+++ b/pkg/coordination/region/loop.go
@@ -143,9 +143,9 @@
 		servedUntil:    make(map[model.GroupID]time.Duration),
 		reportedUsable: -1,
 		observedAt:     -observeInterval,
-		catalogFetch:   tableFetch{table: "configuration"},
-		upstreamsFetch: tableFetch{table: "databases"},
 	}
+	l.catalogFetch = tableFetch{loop: l, table: "configuration"}
+	l.upstreamsFetch = tableFetch{loop: l, table: "databases"}
 	l.sharedHeadRead = share.NewPaced(l.paceHeadReads, l.readHeadOnce)
 	l.followsTables.Store(config.Failover.FirstReadDelay == 0)
 	l.latest.Store(&Snapshot{Catalog: &catalog.Catalog{}})
--- a/pkg/coordination/region/peertables.go
+++ b/pkg/coordination/region/peertables.go
@@ -18,13 +18,13 @@
 		l.confirmFromPeer(started, reply)
 	}
 	if offer := reply.CatalogOffer; offer != nil && !l.holdsCatalog(catalog.Version(offer.Version)) {
-		l.catalogFetch.start(l, from, offer, func(data []byte, _ int64) { l.applyPeerCatalog(data) })
+		l.catalogFetch.start(from, offer, func(data []byte, _ int64) { l.applyPeerCatalog(data) })
 	}
 	if reply.Upstreams != nil {
 		l.applyPeerUpstreams(reply.Upstreams, reply.UpstreamsVersion)
 	}
 	if offer := reply.UpstreamsOffer; offer != nil && offer.Version > l.upstreamsVersion {
-		l.upstreamsFetch.start(l, from, offer, l.applyPeerUpstreams)
+		l.upstreamsFetch.start(from, offer, l.applyPeerUpstreams)
 	}
 }
 
