Specs of large configurations: changes in a row, superseded versions, seven processes

Change: two specs in virtual time, and one with real processes, whose observers fetch 3,000 routes from members.

--- a/pkg/coordination/region/narrowlink_test.go
+++ b/pkg/coordination/region/narrowlink_test.go
@@ -259,6 +259,53 @@
 		})
 	})
 
+	// Guards against a transfer that begins anew with each newer version, and never ends.
+	It("adopts configurations that follow each other quickly, and the last one in time", func() {
+		inVirtualTime(func() {
+			table, heads := &feed{}, &headStore{head: rowWith(members...)}
+			putConfiguration(table, 1, manyRoutes)
+			member := startVirtual(members[0], table, unavailable{}, heads, full)
+			defer member.Close()
+			expectVersion(member, 1, applyTime)
+			// A transfer takes longer than the time between two versions.
+			observer := startVirtual("o1", &feed{}, newNarrowPeers(members, member, newNarrowLink(1)), heads, full)
+			defer observer.Close()
+			expectVersion(observer, 1, applyTime)
+			adopted := map[catalog.Version]bool{}
+			const last = 12
+			for version := catalog.Version(2); version <= last; version++ {
+				putConfiguration(table, version, manyRoutes)
+				time.Sleep(time.Second / 3)
+				adopted[observer.Snapshot().Catalog.Version] = true
+			}
+			Expect(len(adopted)).To(BeNumerically(">=", 3))
+			expectVersion(observer, last, applyTime)
+		})
+	})
+
+	It("serves the parts of a version for a while after it was superseded", func() {
+		inVirtualTime(func() {
+			table := &feed{}
+			putConfiguration(table, 1, manyRoutes)
+			member := startVirtual(members[0], table, unavailable{}, &headStore{head: rowWith(members...)}, full)
+			defer member.Close()
+			expectWithin(applyTime, "the members are known", func() bool { return member.Snapshot().View.Head != nil })
+			expectVersion(member, 1, applyTime)
+			reply, err := member.AnswerStateQuery(context.Background(), region.StateQuery{Observer: true, TakesOffers: true})
+			Expect(err).NotTo(HaveOccurred())
+			part := func() ([]byte, error) { return member.AnswerPart(reply.CatalogOffer.Digest, transfer.PartBytes) }
+			for version := catalog.Version(2); version <= 5; version++ {
+				Expect(part()).To(HaveLen(transfer.PartBytes))
+				putConfiguration(table, version, manyRoutes)
+				expectVersion(member, version, applyTime)
+			}
+			putConfiguration(table, 6, manyRoutes)
+			expectVersion(member, 6, applyTime)
+			_, err = part()
+			Expect(err).To(MatchError(region.ErrPartGone))
+		})
+	})
+
 	It("sends a large configuration whole to an instance that takes no offers", func() {
 		inVirtualTime(func() {
 			table := &feed{}
--- a/testbench/hosted/observers_test.go
+++ b/testbench/hosted/observers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 
@@ -54,6 +55,32 @@
 		Expect(system.Group.Violations()).To(BeEmpty())
 	})
 
+	// A configuration of this size is fetched in parts.
+	It("serves each database of a large configuration at every instance", func() {
+		system, members, observers := startLarge()
+		const further = 3000
+		system.AddRoutes(further, time.Second)
+		for _, instance := range slices.Concat(members, observers) {
+			for _, database := range []string{hosted.FurtherDatabase(0), hosted.FurtherDatabase(further - 1)} {
+				Eventually(func() error {
+					client, err := hosted.Dial(instance.Callers(), database, "client")
+					if err != nil {
+						return err
+					}
+					defer client.Close()
+					_, err = client.Do("READ a")
+					return err
+				}, patience, 50*time.Millisecond).Should(Succeed(), "%s at instance %d", database, instance.Index)
+			}
+		}
+		for _, instance := range observers {
+			log, err := os.ReadFile(instance.LogPath())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(log)).To(ContainSubstring(`"event":558`), "instance %d", instance.Index)
+		}
+		Expect(system.Group.Violations()).To(BeEmpty())
+	})
+
 	It("goes on when members are lost", func() {
 		system, members, observers := startLarge()
 		for _, member := range members[:2] {
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -75,6 +75,8 @@
 	version int
 	// accounts is nil for a configuration without accounts.
 	accounts []Account
+	// further is the number of routes besides those of the three databases.
+	further int
 }
 
 // ports are the same on all instances, which have addresses of their own.
@@ -142,12 +144,25 @@
 	return nil
 }
 
+// FurtherDatabase returns the name of a database that AddRoutes has added; they are
+// numbered from zero.
+func FurtherDatabase(number int) string { return fmt.Sprintf("further-%d", number) }
+
+// AddRoutes writes the next version of the configuration, with this many databases
+// more. timeout bounds a statement.
+func (s *System) AddRoutes(count int, timeout time.Duration) {
+	s.mu.Lock()
+	s.further += count
+	s.mu.Unlock()
+	s.Configure(timeout)
+}
+
 // Configure writes the next version of the configuration. timeout bounds a
 // statement.
 func (s *System) Configure(timeout time.Duration) {
 	s.mu.Lock()
 	s.version += 3
-	version, accounts := s.version, s.accounts
+	version, accounts, further := s.version, s.accounts, s.further
 	s.mu.Unlock()
 	route := func(database, kind string, priority int, age int64) map[string]any {
 		return map[string]any{
@@ -156,13 +171,17 @@
 			"priority": priority, "max_staleness_ms": age,
 		}
 	}
+	routes := []any{
+		route(DatabaseLatest, "primary", 1, 0),
+		route(DatabaseSession, "read_your_writes", 2, 2500),
+		route(DatabaseBounded, "bounded_staleness", 2, 1500),
+	}
+	for number := range further {
+		routes = append(routes, route(FurtherDatabase(number), "primary", 1, 0))
+	}
 	fields := map[string]any{
 		"version": version,
-		"routes": []any{
-			route(DatabaseLatest, "primary", 1, 0),
-			route(DatabaseSession, "read_your_writes", 2, 2500),
-			route(DatabaseBounded, "bounded_staleness", 2, 1500),
-		},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": s.options.Group.Name, "max_connections": s.options.Group.MaxConnections, "sync_replicas": 0,
 		}},
