--- a/pkg/coordination/hedge/hedge_test.go
+++ b/pkg/coordination/hedge/hedge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,7 +14,11 @@
 	"gypsumdock/pkg/coordination/hedge"
 )
 
+// suite is the test that runs the specs. Specs in virtual time need it.
+var suite *testing.T
+
 func TestHedge(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "hedge")
 }
@@ -65,25 +70,25 @@
 	})
 
 	// A large answer was asked for again and again while it was arriving.
-	It("starts no attempt while an answer is arriving, and ends those without one", func(ctx SpecContext) {
-		var attempts atomic.Int64
-		ended := make(chan struct{})
-		value, err := hedge.Do(ctx, quick, func(ctx context.Context) (int64, error) {
-			attempt := attempts.Add(1)
-			if attempt == 1 {
-				<-ctx.Done()
-				close(ended)
-				return 0, ctx.Err()
-			}
-			hedge.Answering(ctx)
-			<-ended
-			// Attempts would be due many times while the answer arrives.
-			time.Sleep(20 * quick.Interval)
-			return attempt, ctx.Err()
+	It("starts no attempt while an answer is arriving, and ends those without one", func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			var attempts atomic.Int64
+			value, err := hedge.Do(context.Background(), quick, func(ctx context.Context) (int64, error) {
+				attempt := attempts.Add(1)
+				if attempt == 1 {
+					<-ctx.Done()
+					return 0, ctx.Err()
+				}
+				hedge.Answering(ctx)
+				// Further attempts would be due while the answer arrives.
+				time.Sleep(20 * quick.Interval)
+				return attempt, ctx.Err()
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(value).To(BeEquivalentTo(2))
+			Expect(attempts.Load()).To(BeEquivalentTo(2))
 		})
-		Expect(err).NotTo(HaveOccurred())
-		Expect(value).To(BeEquivalentTo(2))
-		Expect(attempts.Load()).To(BeEquivalentTo(2))
 	})
 
 	It("returns the error of an answer that does not arrive to its end", func(ctx SpecContext) {
