--- a/pkg/coordination/region/confirm_test.go
+++ b/pkg/coordination/region/confirm_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -82,15 +80,11 @@
 		table = &heldFeed{}
 		clock = &manualClock{started: time.Now().Add(-time.Second)}
 		table.put(region.Entry{Key: "config", Value: []byte("4")})
-		var err error
-		loop, err = region.New(region.Config{
-			Self: model.Member{ID: "self", DataCentre: "a", Machine: "self"}, Clock: clock, Heads: &headStore{}, Configurations: table, Databases: &feed{},
-			Failover: failover.Config{PermitLifetime: time.Minute, MinMembers: 1, MaxMembers: 4},
-			Decoder:  tableDecoder{}, Upstreams: upstreams{}, Promotion: unavailable{}, Peers: unavailable{}, Traffic: idleTraffic{},
-			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
-		Expect(err).NotTo(HaveOccurred())
-		loop.Start()
+		config := newLoopConfig(table, &feed{}, &headStore{})
+		config.Clock = clock
+		config.Decoder = tableDecoder{}
+		config.Failover = failover.Config{PermitLifetime: time.Minute, MinMembers: 1, MaxMembers: 4}
+		loop = startConfigured(config)
 		DeferCleanup(loop.Close)
 	})
 
--- a/pkg/coordination/region/observer_test.go
+++ b/pkg/coordination/region/observer_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -60,14 +58,11 @@
 // startLoopWith starts a loop that reads the configuration from the table.
 func startLoopWith(configurations region.Feed, peers region.Peers, heads region.HeadStore, config failover.Config) *region.Loop {
 	config.PermitLifetime = time.Minute
-	loop, err := region.New(region.Config{
-		Self: model.Member{ID: "self", DataCentre: "a", Machine: "self"}, Failover: config, Clock: &wallClock{started: time.Now()},
-		Heads: heads, Configurations: configurations, Databases: &feed{}, Decoder: decoder{},
-		Upstreams: upstreams{}, Promotion: unavailable{}, Peers: peers, Traffic: idleTraffic{},
-		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
-	Expect(err).NotTo(HaveOccurred())
-	loop.Start()
+	settings := newLoopConfig(configurations, &feed{}, heads)
+	settings.Self = model.Member{ID: "self", DataCentre: "a", Machine: "self"}
+	settings.Failover = config
+	settings.Peers = peers
+	loop := startConfigured(settings)
 	DeferCleanup(loop.Close)
 	return loop
 }
@@ -81,11 +76,6 @@
 	return data
 }
 
-// wallClock is a region.Clock.
-type wallClock struct{ started time.Time }
-
-func (c *wallClock) Now() time.Duration { return time.Since(c.started) }
-
 func configured() *feed {
 	table := &feed{}
 	table.put(region.Entry{Key: "config", Value: []byte("4")})
--- a/pkg/coordination/region/silentstore_test.go
+++ b/pkg/coordination/region/silentstore_test.go
@@ -66,9 +66,7 @@
 		configurations.put(region.Entry{Key: "config", Value: []byte("5")})
 		databases.put(region.Entry{Key: "a", Value: []byte("first")})
 		heads := silentHeads{headStore: &headStore{}, outage: silence}
-		loop, err := region.New(newLoopConfig(configurations, databases, heads))
-		Expect(err).NotTo(HaveOccurred())
-		loop.Start()
+		loop := startConfigured(newLoopConfig(configurations, databases, heads))
 		DeferCleanup(loop.Close)
 		Eventually(silence.lost.Load).Should(BeNumerically(">=", 3))
 		silence.over.Store(true)
