--- a/pkg/imports/catalogue_test.go
+++ b/pkg/imports/catalogue_test.go
@@ -56,7 +56,7 @@
 // qualified identifier, that is, from outside the package.
 func used(dir string) map[string]bool {
 	names := map[string]bool{}
-	for _, tree := range []string{"pkg", "cmd"} {
+	for _, tree := range []string{"pkg", "cmd", "platform"} {
 		walk(tree, func(_ string, file *ast.File) {
 			ast.Inspect(file, func(node ast.Node) bool {
 				selector, ok := node.(*ast.SelectorExpr)
