Spec of a large configuration: observers cannot reach the store

Its log shows why: it had become an observer 0.6 s before, and its last wait for a change of the store's table, begun at its start, brought the new version. That is allowed.

Change: the observers are cut off from the store before the configuration grows, so that members are their only source. The assertions stay.

--- a/testbench/hosted/observers_test.go
+++ b/testbench/hosted/observers_test.go
@@ -55,9 +55,13 @@
 		Expect(system.Group.Violations()).To(BeEmpty())
 	})
 
-	// A configuration of this size is fetched in parts.
+	// A configuration of this size is fetched in parts. Without the store, members are
+	// the only ones that observers can have it from.
 	It("serves each database of a large configuration at every instance", func() {
 		system, members, observers := startLarge()
+		for _, instance := range observers {
+			Expect(instance.ToStore.Close()).To(Succeed())
+		}
 		const further = 3000
 		system.AddRoutes(further, time.Second)
 		for _, instance := range slices.Concat(members, observers) {
