--- a/review/stand/database.go
+++ b/review/stand/database.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,9 +84,9 @@
 	// last became reachable.
 	darkSince time.Time
 	reachedAt time.Time
-	sequence int
-	conns    map[*dbConn]bool
-	lag      time.Duration
+	sequence  int
+	conns     map[*dbConn]bool
+	lag       time.Duration
 }
 
 func startGroup(name string, zones []string, store *Store, rec *Recorder) (*Group, error) {
@@ -133,6 +134,33 @@
 	return nil
 }
 
+// addReplica starts a further database, which takes the log of the primary.
+func (g *Group) addReplica(zone string) error {
+	g.mu.Lock()
+	d := &Database{
+		id: fmt.Sprintf("i-%s-%d", g.name, len(g.databases)+1), zone: zone, group: g, term: g.term,
+		conns: map[*dbConn]bool{}, lag: replicaLag,
+	}
+	g.databases = append(g.databases, d)
+	g.mu.Unlock()
+	return d.start()
+}
+
+// setDraining makes the database report that it is about to leave.
+func (d *Database) setDraining() {
+	d.group.mu.Lock()
+	d.draining = true
+	d.group.rec.Logf(d.id, "is draining")
+	d.group.mu.Unlock()
+	d.group.announceOne(d)
+}
+
+// leave ends a database for good, after its drain. Its entry is removed.
+func (d *Database) leave() {
+	d.crash()
+	d.group.store.Delete("servers", d.id)
+}
+
 // crash ends the process of the database. Its log stays.
 func (d *Database) crash() {
 	d.group.mu.Lock()
@@ -253,7 +281,10 @@
 // once when one has changed or the store has lost it.
 func (g *Group) announce() {
 	for {
-		for _, d := range g.databases {
+		g.mu.Lock()
+		databases := slices.Clone(g.databases)
+		g.mu.Unlock()
+		for _, d := range databases {
 			g.announceOne(d)
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,8 +24,9 @@
 var errUnknownCase = errors.New("no such case")
 
 var scenarios = map[string]scenario{
-	"restored-and-dark": restoredAndDark,
-	"restored-store":    restoredStore,
+	"restored-and-dark":   restoredAndDark,
+	"restored-and-killed": restoredAndKilled,
+	"restored-store":      restoredStore,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/traffic.go
+++ b/review/stand/traffic.go
@@ -37,7 +37,9 @@
 	it.lastAck.Store(time.Now().UnixNano())
 }
 
-func (it *item) data(count int64) string { return it.group + "." + it.name + "." + strconv.FormatInt(count, 10) }
+func (it *item) data(count int64) string {
+	return it.group + "." + it.name + "." + strconv.FormatInt(count, 10)
+}
 
 // countOf returns the count in the data of a row.
 func countOf(rows []string) int64 {
