review: a permanent loss of a promoted primary becomes case 7, the others move up

The five cases are now in the order of their gravity; the former cases 7 to 9 are 8 to 10, unchanged.

--- a/review/stand-2/database.go
+++ b/review/stand-2/database.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,6 +83,13 @@
 	// holds the orders that made a database lead.
 	late   int
 	orders []order
+	// highest is the highest fence of all calls, by the holder; fences counts the
+	// calls with a lower one, or with the same one from another holder.
+	highest       uint64
+	highestHolder string
+	fences        int
+	// called is called with each call that promotes.
+	called func(target, holder string)
 }
 
 // order is an order to promote a database that did not lead yet.
@@ -159,6 +167,12 @@
 	return nil
 }
 
+func (g *group) all() []*database {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.databases)
+}
+
 func (g *group) primary() *database {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -172,7 +186,17 @@
 	}
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	holder := r.Header.Get("X-Duty-Holder")
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	if g.called != nil {
+		g.called(body.Identifier, holder)
+	}
 	g.mu.Lock()
+	if fence < g.highest || fence == g.highest && holder != g.highestHolder {
+		g.fences++
+		record("VIOLATION: %s sends fence %d, after %d of %s", holder, fence, g.highest, g.highestHolder)
+	} else {
+		g.highest, g.highestHolder = fence, holder
+	}
 	var target *database
 	for _, d := range g.databases {
 		if d.id == body.Identifier && d.running {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -53,6 +53,7 @@
 	group     *group
 	instances []*instance
 	clients   *clients
+	version   int
 	// frozen is the name of the instance that was frozen, until thawedAt.
 	frozen             string
 	frozenAt, thawedAt time.Time
@@ -100,7 +101,7 @@
 		record("cannot start: %v", err)
 		finish(unknown)
 	}
-	cases := map[string]func() int{"resume": r.resume, "sealed": r.sealed, "away": r.away, "turns": r.turns, "leaving": r.leaving}
+	cases := map[string]func() int{"resume": r.resume, "sealed": r.sealed, "away": r.away, "turns": r.turns, "fence": r.fence, "orphan": r.orphan, "leaving": r.leaving}
 	play, known := cases[*scenario]
 	if !known {
 		finish(unknown)
@@ -148,7 +149,10 @@
 	return nil
 }
 
+// configure writes the next version of the configuration, in which nothing but the
+// version changes.
 func (r *run) configure() {
+	r.version += 7
 	configured := []any{}
 	for _, kind := range routes {
 		configured = append(configured, map[string]any{
@@ -157,7 +161,7 @@
 		})
 	}
 	r.store.put("op", "config", map[string]any{
-		"version": 7, "routes": configured,
+		"version": r.version, "routes": configured,
 		"services": []any{map[string]any{"name": r.group.name, "max_connections": maxConnections, "sync_replicas": 0}},
 		"limits":   map[string]any{"transaction_idle_ms": 3000},
 	})
@@ -257,7 +261,7 @@
 	return r.judge(atOld > 0, served(operations, time.Time{}, time.Now()) > 0.25)
 }
 
-// sealed is case 7: all processes are killed as the order to promote the next
+// sealed is case 8: all processes are killed as the order to promote the next
 // primary is accepted, and all come back.
 func (r *run) sealed() int {
 	struck := make(chan time.Time, 1)
@@ -281,7 +285,7 @@
 	}
 }
 
-// away is case 8: all processes are killed, one machine does not come back, and the
+// away is case 9: all processes are killed, one machine does not come back, and the
 // primary crashes once for a short time.
 func (r *run) away() int {
 	faultAt := time.Now()
@@ -312,7 +316,7 @@
 	leavingTime  = 12 * time.Second
 )
 
-// turns is case 9: the databases are replaced one after the other, each time the one
+// turns is case 10: the databases are replaced one after the other, each time the one
 // that leads, at least releaseGap apart. Without trouble only one is replaced.
 func (r *run) turns() int {
 	count := releases
@@ -359,7 +363,7 @@
 	return r.judge(turns > 0, served(operations, time.Time{}, time.Now()) > 0.25)
 }
 
-// leaving is case 10: the primary crashes, and the database that is to be the next
+// leaving is no case of its own: the primary crashes, and the database that is to be the next
 // primary goes dark before it leads. Later, with all databases well, the primary is
 // replaced.
 func (r *run) leaving() int {
@@ -404,6 +408,110 @@
 	return r.judge(r.group.late > 0, served(operations, time.Time{}, time.Now()) > 0.25)
 }
 
+// Times of the case with the drill.
+const (
+	copyAge   = 3 * time.Second
+	stormGap  = 200 * time.Millisecond
+	storeAway = time.Second
+	killAfter = 500 * time.Millisecond
+	fenceTime = 14 * time.Second
+)
+
+// fence is no case of its own (issue 18): the primary and the next candidate go dark, the store
+// comes back from a copy, and the promoter's process is killed and starts again.
+// Without trouble the store stays as it is.
+func (r *run) fence() int {
+	copied := r.store.copy()
+	for copiedAt := time.Now(); time.Since(copiedAt) < copyAge; time.Sleep(stormGap) {
+		r.configure()
+	}
+	var once sync.Once
+	called := make(chan string, 1)
+	r.group.called = func(target, holder string) {
+		once.Do(func() {
+			for _, d := range r.group.all() {
+				if d.id == target {
+					d.crash()
+					record("%s goes dark", d.id)
+					time.AfterFunc(candidateOff, func() {
+						_ = d.start()
+						record("%s is back", d.id)
+					})
+				}
+			}
+			called <- holder
+		})
+	}
+	primary := r.group.primary()
+	primary.crash()
+	record("%s goes dark", primary.id)
+	time.AfterFunc(darkTime, func() {
+		_ = primary.start()
+		record("%s is back", primary.id)
+	})
+	select {
+	case <-called:
+	case <-time.After(10 * time.Second):
+		return unknown
+	}
+	if r.trouble {
+		r.store.drill(copied, storeAway)
+		record("the store is back from a copy")
+	} else {
+		time.Sleep(storeAway)
+	}
+	time.Sleep(killAfter)
+	r.restart(len(r.instances))
+	time.Sleep(fenceTime)
+	operations := r.ended()
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	record("%d calls with a lower fence, or with one of another holder", r.group.fences)
+	return r.judge(r.group.fences > 0, served(operations, time.Time{}, time.Now()) > 0.1)
+}
+
+// Times of the case in which the new primary is lost for good. By permitsOver after
+// the restart every permit that a process before it can have held has expired.
+const (
+	goneAfter   = 1400 * time.Millisecond
+	permitsOver = 72 * time.Second
+)
+
+// orphan is case 7: all processes are killed as the order to promote the next primary
+// is accepted, and the new primary is lost for good when the others follow it. With
+// TROUBLE=kill the new primary stays.
+func (r *run) orphan() int {
+	struck := make(chan time.Time, 1)
+	var once sync.Once
+	if r.trouble && os.Getenv("TROUBLE") != "kill" {
+		r.group.led = func(d *database) {
+			once.Do(func() {
+				time.Sleep(goneAfter)
+				d.crash()
+				record("%s is lost for good", d.id)
+			})
+		}
+	}
+	var first sync.Once
+	r.group.ordered = func(string) {
+		first.Do(func() {
+			if r.trouble {
+				r.restart(len(r.instances))
+			}
+			struck <- time.Now()
+		})
+	}
+	faultAt := time.Now()
+	r.release()
+	select {
+	case backAt := <-struck:
+		return r.judgeRecoveryAfter(faultAt, backAt, permitsOver)
+	case <-time.After(20 * time.Second):
+		record("no promotion was ordered")
+		return unknown
+	}
+}
+
 // restart kills all processes at once and starts this many of them again.
 func (r *run) restart(back int) {
 	var wait sync.WaitGroup
@@ -426,11 +534,17 @@
 // judgeRecovery waits and judges what was sent later than recoverTime after the
 // machines are back.
 func (r *run) judgeRecovery(faultAt, backAt time.Time) int {
-	time.Sleep(time.Until(backAt.Add(recoverTime + judgedTime)))
+	return r.judgeRecoveryAfter(faultAt, backAt, recoverTime)
+}
+
+// judgeRecoveryAfter judges what was sent later than a time after the machines are
+// back, which is recoverTime or more.
+func (r *run) judgeRecoveryAfter(faultAt, backAt time.Time, later time.Duration) int {
+	time.Sleep(time.Until(backAt.Add(later + judgedTime)))
 	operations := r.ended()
 	before := served(operations, faultAt.Add(-5*time.Second), faultAt)
-	after := served(operations, backAt.Add(recoverTime), time.Now())
-	record("served before the fault: %.3f, later than %s after the machines were back: %.3f", before, recoverTime, after)
+	after := served(operations, backAt.Add(later), time.Now())
+	record("served before the fault: %.3f, later than %s after the machines were back: %.3f", before, later, after)
 	return r.judge(after < 0.25, before >= 0.25)
 }
 
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -31,6 +32,11 @@
 	rows    map[string]row
 	history []row
 	version int64
+	// first is the version before the oldest change that is kept, and era the number
+	// of the returns from a copy, plus one.
+	first int64
+	era   int
+	away  bool
 }
 
 func startStore() (*store, error) {
@@ -38,16 +44,71 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{listener: listener, begun: time.Now(), rows: map[string]row{}, version: 1}
+	s := &store{listener: listener, begun: time.Now(), rows: map[string]row{}, version: 1, first: 1, era: 1}
 	s.changed = sync.NewCond(&s.mu)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /gypsumdock/rows-get", s.get)
 	mux.HandleFunc("POST /gypsumdock/rows-tx", s.transact)
 	mux.HandleFunc("GET /gypsumdock/rows-feed", s.feed)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, s.withEra(mux)) }()
 	return s, nil
 }
 
+// withEra adds the era to all answers, and answers nothing but 503 while the store is
+// away.
+func (s *store) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// storeCopy is a copy of the store.
+type storeCopy struct {
+	rows    map[string]row
+	version int64
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// drill takes the store away for a moment and has it come back from a copy. What the
+// operator and the databases have written since is written again.
+func (s *store) drill(from storeCopy, away time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.rows
+	s.rows, s.version, s.first, s.history = maps.Clone(from.rows), from.version, from.version, nil
+	s.era++
+	s.away = false
+	for key, r := range newest {
+		outside := r.Table == "op" || r.Table == "servers"
+		if old, exists := from.rows[key]; outside && (!exists || string(old.Value) != string(r.Value)) {
+			s.write([]row{{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value}}, nil)
+		}
+	}
+	for key, r := range from.rows {
+		if _, exists := newest[key]; !exists && (r.Table == "op" || r.Table == "servers") {
+			s.write(nil, []row{{Table: r.Table, Part: r.Part, Key: r.Key}})
+		}
+	}
+	s.changed.Broadcast()
+}
+
 func (s *store) address() string { return s.listener.Addr().String() }
 
 // put writes a row for the operator or a database.
@@ -156,6 +217,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
+		if after < s.first || after > s.version {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		found := []row{}
 		for _, change := range s.history {
 			if change.Version > after && change.Table == query.Get("table_name") {
