The promoter of a generation keeps the promotion lease beyond its start

Cause: who replaces a leaving primary went by rank, with two times that outlived the primary they were kept for (leavingSwitchAt held A back, leavingSince let B act at once); and the promotion lease ended with the generation, as a member that writes a new seal has taken nothing over.

Change: the head row names the promoter of each generation. Until its lease is over, no other member orders a promotion, and that promoter is first by rank. What is known of a leaving primary is kept by its ID.

--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -21,6 +21,8 @@
 	// servers is GroupSpec.Servers.
 	servers []model.InstanceID
 	permit  permit
+	// generationAt is when this instance learned of the present generation.
+	generationAt time.Duration
 	// stoppedGeneration is the highest generation for which this instance has
 	// given up its permit. It never holds a permit for it, or for an older one,
 	// again.
@@ -38,12 +40,8 @@
 	locallyLost bool
 	// planned is a planned switch that waits for its seal.
 	planned plannedSwitch
-	// leavingSince is when this instance learned that the primary is leaving;
-	// zero while it is not.
-	leavingSince time.Duration
-	// leavingSwitchAt is when this instance last ordered a switch away from a
-	// leaving primary.
-	leavingSwitchAt time.Duration
+	// leaving is the primary that is leaving.
+	leaving leavingPrimary
 	// deposed holds the upstreams that were found to take writes during this
 	// generation although they are not its primary.
 	deposed map[model.UpstreamID]bool
@@ -156,6 +154,7 @@
 
 // resetForGeneration discards the state that belongs to older generations.
 func (g *group) resetForGeneration(now time.Duration, generation model.Generation) {
+	g.generationAt = now
 	g.seal = sealRecord{generation: generation, confirmed: map[model.InstanceID]bool{}}
 	g.promotion = promotionRecord{}
 	g.lost = false
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -14,6 +14,18 @@
 	requestedAt time.Duration
 }
 
+// leavingPrimary records what this instance knows of a primary that is leaving,
+// and has done about it.
+type leavingPrimary struct {
+	id model.UpstreamID
+	// since is when this instance learned that the primary is leaving.
+	since time.Duration
+	// switchAt is when this instance last ordered a switch away from it, if
+	// switched is true.
+	switchAt time.Duration
+	switched bool
+}
+
 func (m *Machine) switchRequested(event SwitchRequested) {
 	g := m.groupByID[event.Group]
 	if g == nil || m.head == nil {
@@ -62,31 +74,36 @@
 
 // switchFromLeavingPrimary requests a planned switch away from a primary that
 // is leaving. The members do so in the order of their ranks, LeavingStagger
-// apart, and again after LeavingRetryInterval if the switch fails.
+// apart, and again after LeavingRetryInterval if the switch fails. While another
+// member holds the promotion lease, the switch is left to that one.
 func (m *Machine) switchFromLeavingPrimary(g *group, gh model.GroupHead) {
 	primary := g.upstream(gh.Primary)
 	if primary == nil || !primary.spec.Leaving {
-		g.leavingSince = 0
+		g.leaving = leavingPrimary{}
 		return
 	}
-	if g.leavingSince == 0 {
-		g.leavingSince = m.now
+	if g.leaving.id != gh.Primary {
+		g.leaving = leavingPrimary{id: gh.Primary, since: m.now}
 	}
 	if g.planned.requested {
 		return
 	}
-	if g.leavingSwitchAt != 0 && m.now-g.leavingSwitchAt < m.cfg.LeavingRetryInterval {
+	if g.leaving.switched && m.now-g.leaving.switchAt < m.cfg.LeavingRetryInterval {
+		return
+	}
+	holder := m.leaseHolder(g, gh)
+	if holder != "" && holder != m.self {
 		return
 	}
-	rank := m.serverRank(g, "seal/", "")
-	if m.now-g.leavingSince < time.Duration(rank)*m.cfg.LeavingStagger {
+	if m.now-g.leaving.since < time.Duration(m.sealRank(g, gh))*m.cfg.LeavingStagger {
 		return
 	}
 	target := m.mostAdvancedReplica(g, gh, "")
 	if target == nil || m.refuseSwitch(g, target.spec.ID) != "" {
 		return
 	}
-	g.leavingSwitchAt = m.now
+	g.leaving.switched = true
+	g.leaving.switchAt = m.now
 	g.planned = plannedSwitch{requested: true, target: target.spec.ID, requestedAt: m.now}
 }
 
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -217,13 +217,26 @@
 	return lost && waited >= m.cfg.PromoteTimeout || waited >= 2*m.cfg.PromoteTimeout
 }
 
+// leaseHolder returns the member that may still order promotions because it
+// started the present generation, or an empty ID once its lease has expired.
+func (m *Machine) leaseHolder(g *group, gh model.GroupHead) model.InstanceID {
+	if m.now-g.generationAt >= m.cfg.PromotionLeaseWait {
+		return ""
+	}
+	return gh.Promoter
+}
+
 // holdsPromotionLease reports whether this instance may order promotions: its
-// newest read of the head row is younger than PromotionLease and, after a
-// takeover, the lease of its predecessor has expired.
-func (m *Machine) holdsPromotionLease(g *group) bool {
+// newest read of the head row is younger than PromotionLease, and the leases of
+// earlier promoters have expired, of this generation and of the one that ended.
+func (m *Machine) holdsPromotionLease(g *group, gh model.GroupHead) bool {
 	if g.seal.takenOver && m.now-g.seal.contentAt < m.cfg.PromotionLeaseWait {
 		return false
 	}
+	holder := m.leaseHolder(g, gh)
+	if holder != "" && holder != m.self {
+		return false
+	}
 	if m.cfg.PromotionLease == 0 {
 		return true
 	}
@@ -235,7 +248,7 @@
 }
 
 func (m *Machine) orderPromotion(g *group, gh model.GroupHead) {
-	if !m.holdsPromotionLease(g) {
+	if !m.holdsPromotionLease(g, gh) {
 		return
 	}
 	if g.promotion.ordered && m.now-g.promotion.lastOrderedAt < m.cfg.ResendInterval {
@@ -307,6 +320,7 @@
 		group.Primary = gh.Seal.Candidate
 		group.StartLSN = start
 		group.Timeline = timeline
+		group.Promoter = m.self
 		group.Seal = nil
 	})
 }
--- a/pkg/state/failover/seal.go
+++ b/pkg/state/failover/seal.go
@@ -6,6 +6,9 @@
 	"gypsumdock/pkg/state/model"
 )
 
+// sealDuty orders the members that may seal a group.
+const sealDuty = "seal/"
+
 func (m *Machine) reportSeal(g *group, gh model.GroupHead) {
 	kind := ReportSealed
 	if gh.Seal.Planned {
@@ -28,11 +31,26 @@
 	m.decideSwitchSeal(g, gh, changes)
 }
 
+// sealRank returns this instance's place, from 0, among the members that would
+// replace the primary. The holder of the promotion lease comes first, since the
+// others could order a promotion only after that lease has expired.
+func (m *Machine) sealRank(g *group, gh model.GroupHead) int {
+	holder := m.leaseHolder(g, gh)
+	switch {
+	case holder == m.self:
+		return 0
+	case holder != "" && m.tracker.IsResponsive(m.now, holder):
+		return 1 + m.serverRank(g, sealDuty, holder)
+	default:
+		return m.serverRank(g, sealDuty, "")
+	}
+}
+
 // decideLost seals a group whose primary is lost. The members do so in the
 // order of their ranks, SealStagger apart, so that usually only one of them
 // writes.
 func (m *Machine) decideLost(g *group, gh model.GroupHead, changes *edits) {
-	stagger := time.Duration(m.serverRank(g, "seal/", "")) * m.cfg.SealStagger
+	stagger := time.Duration(m.sealRank(g, gh)) * m.cfg.SealStagger
 	candidate := m.mostAdvancedReplica(g, gh, "")
 	if candidate == nil || m.now-g.lostSince < stagger || !m.isHeadFresh() {
 		return
--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -27,6 +27,8 @@
 	unlisted bool
 	// inFlight counts the writes that wait for an answer of the upstream.
 	inFlight int
+	// promoting is true while the platform carries out an order of the node.
+	promoting bool
 	// noUpstream holds the upstreams that the node cannot reach.
 	noUpstream map[model.UpstreamID]bool
 }
@@ -48,12 +50,16 @@
 		w: w, id: model.InstanceID(fmt.Sprintf("i%02d", i+1)), dc: dataCentre(i), bootedAt: w.now - time.Second,
 		rate: 1 + maxClockError*(2*w.rng.Float64()-1), noUpstream: map[model.UpstreamID]bool{},
 	}
-	n.machine = failover.New(failover.Config{
+	config := failover.Config{
 		Self:           model.Member{ID: n.id, DataCentre: n.dc, Address: "127.0.0.1:0"},
 		MaxPromiseTime: searchMaxPromise,
 		EvictAfter:     searchEvictAfter,
 		Rules:          w.rules,
-	})
+	}
+	if w.hosted != nil {
+		w.hosted.configure(&config)
+	}
+	n.machine = failover.New(config)
 	w.nodes = append(w.nodes, n)
 	start := w.between(timeBeforeFirstTick, 10*timeBeforeFirstTick)
 	w.after(start, func() { n.handle(w.bundle(0)) })
@@ -193,6 +199,10 @@
 	if current.Seal != nil && current.Seal.By == n.id && current.Seal.Candidate == a.Upstream {
 		n.w.checkNoPermitBelow(current.Seal.Next, "its successor is promoted")
 	}
+	if n.w.hosted != nil {
+		n.orderPromotion(a)
+		return
+	}
 	up := n.w.server(a.Upstream)
 	answer := failover.Promoted{Group: a.Group, Upstream: a.Upstream, Next: a.Next}
 	n.w.after(n.w.net.delay(), func() {
@@ -228,7 +238,7 @@
 			return
 		}
 		up.lsn += 10
-		done := ack{generation: view.Generation, branch: up.branch, lsn: up.lsn}
+		done := ack{generation: view.Generation, branch: up.branch, lsn: up.lsn, deposed: n.w.isDeposed(up)}
 		n.w.after(n.w.net.delay(), func() {
 			n.deliver(func() { n.acknowledge(up, done) })
 		})
--- a/pkg/state/failover/search/server_test.go
+++ b/pkg/state/failover/search/server_test.go
@@ -102,6 +102,9 @@
 // primary: it makes replicas follow a primary, not always that of the head row,
 // and after heal rebuilds those that diverged.
 func (w *world) repairReplicas() {
+	if w.hosted != nil {
+		return
+	}
 	current := w.table.group()
 	if current.Generation == 0 || current.Seal != nil || w.now-w.table.startedAt < time.Second {
 		return
--- a/pkg/state/failover/search/world_test.go
+++ b/pkg/state/failover/search/world_test.go
@@ -36,6 +36,8 @@
 	ups   []*server
 	table table
 	net   network
+	// hosted is nil unless the platform promotes the upstreams.
+	hosted *hosted
 
 	writeEvery time.Duration
 	// reportFollows lets probes report which server a replica follows.
@@ -67,6 +69,9 @@
 	generation model.Generation
 	branch     int
 	lsn        model.LSN
+	// deposed is true if the upstream committed it after the platform had
+	// promoted another one.
+	deposed bool
 }
 
 // scheduled is a call that is due at the time at.
@@ -166,6 +171,9 @@
 	if current.Generation > a.generation {
 		w.violate("%s acknowledged a write of generation %d in generation %d", by.id, a.generation, current.Generation)
 	}
+	if a.deposed {
+		w.violate("%s acknowledged a write that was committed at a replaced primary", by.id)
+	}
 	w.acked = append(w.acked, a)
 	w.lastAck = w.now
 }
--- a/pkg/state/failover/view.go
+++ b/pkg/state/failover/view.go
@@ -118,7 +118,7 @@
 		Timeline:   gh.Timeline,
 		Sealed:     gh.Seal != nil || g.stoppedGeneration >= gh.Generation || g.permit.drainUntil != 0,
 		Draining:   g.permit.drainUntil != 0,
-		SealRank:   m.serverRank(g, "seal/", ""),
+		SealRank:   m.sealRank(g, gh),
 
 		PrimaryLost: g.locallyLost,
 	}
--- a/pkg/state/model/head.go
+++ b/pkg/state/model/head.go
@@ -39,6 +39,9 @@
 	// Contested is true if another upstream may have started Timeline too,
 	// because more than one candidate was named for this generation.
 	Contested bool `json:"contested,omitempty"`
+	// Promoter is the member that started Generation. It may have ordered a
+	// promotion until then. Empty for the first generation.
+	Promoter InstanceID `json:"promoter,omitempty"`
 	// Seal is nil while the primary may accept writes.
 	Seal *Seal `json:"seal,omitempty"`
 }
