An old primary is used again only after the platform has confirmed it

Cause: whether a promotion had been ordered was known to the one process that ordered it, and to that only until the seal changed. A promoter that took over, or that gave up a silent candidate, found the old primary healthy and started a generation on it.

Change: the seal says whether it was taken over (also when it was handed over), and the promoter remembers its orders of the generation. If either is so, the old primary starts a generation only after an order for it was accepted, on the term that it then leads or on its present one once the order must have had its effect. An upstream that is found promoted is the candidate before all others, in an open group too. PostgreSQL servers are treated as before.

Why this works: before it orders anything a promoter waits for the lease of its predecessor, so no earlier order is on its way; what the platform says of the old primary then holds.

--- a/pkg/coordination/region/export_test.go
+++ b/pkg/coordination/region/export_test.go
@@ -36,6 +36,9 @@
 // Present calls present.
 func (r Registry) Present() []catalog.Upstream { return r.inner.present() }
 
+// IsPromoted exports isPromoted to the tests.
+var IsPromoted = isPromoted
+
 // SeeksPrimary exports seeksPrimary to the tests.
 var SeeksPrimary = seeksPrimary
 
--- a/pkg/coordination/region/monitor.go
+++ b/pkg/coordination/region/monitor.go
@@ -216,6 +216,9 @@
 	// promotionTimeout bounds the promotion: the request, and the wait until
 	// the upstream is primary.
 	promotionTimeout = 2500 * time.Millisecond
+	// promotionEffectTime is the time within which a promotion that the platform has
+	// accepted takes effect.
+	promotionEffectTime = 1300 * time.Millisecond
 	// promotionPollInterval is the time between two probes during that wait.
 	promotionPollInterval = 60 * time.Millisecond
 )
--- a/pkg/coordination/region/promote.go
+++ b/pkg/coordination/region/promote.go
@@ -63,7 +63,7 @@
 		slog.String("group", string(order.Group)), slog.String("upstream", string(order.Upstream)),
 		slog.Uint64("fence", fence), slog.Uint64("generation", uint64(order.Next)))
 	l.tasks.Go(func() {
-		promoted := l.runPromotion(order, upstream, fence, head.Timeline)
+		promoted := l.runPromotion(order, upstream, fence, head)
 		l.post(func() {
 			delete(l.promoting, order.Group)
 			l.step(promoted)
@@ -74,7 +74,7 @@
 // runPromotion requests the promotion from the platform and waits until the
 // upstream is primary.
 func (l *Loop) runPromotion(
-	order failover.Promote, upstream catalog.Upstream, fence uint64, previousTerm uint32,
+	order failover.Promote, upstream catalog.Upstream, fence uint64, head model.GroupHead,
 ) failover.Promoted {
 	result := failover.Promoted{Group: order.Group, Upstream: order.Upstream, Next: order.Next}
 	ctx, cancel := context.WithTimeout(l.ctx, promotionTimeout)
@@ -84,7 +84,7 @@
 			slog.String("upstream", string(order.Upstream)), slog.Any("error", err))
 		return result
 	}
-	sample, err := l.awaitPrimary(ctx, upstream, previousTerm)
+	sample, err := l.awaitPrimary(ctx, upstream, head)
 	if err != nil {
 		events.Log(l.ctx, l.config.Logger, events.PromotionFailed,
 			slog.String("upstream", string(order.Upstream)), slog.Any("error", err))
@@ -96,14 +96,16 @@
 	return result
 }
 
-// awaitPrimary probes the upstream until it is the primary of a term later than
-// previousTerm.
-func (l *Loop) awaitPrimary(ctx context.Context, upstream catalog.Upstream, previousTerm uint32) (Sample, error) {
+// awaitPrimary probes the upstream, whose promotion the platform has accepted, until
+// the promotion has had its effect.
+func (l *Loop) awaitPrimary(ctx context.Context, upstream catalog.Upstream, head model.GroupHead) (Sample, error) {
+	unchangedFrom := l.now() + promotionEffectTime
 	for {
+		startedAt := l.now()
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		sample, err := l.config.Upstreams.Probe(probeCtx, upstream)
 		cancel()
-		if err == nil && sample.Primary && sample.Term > previousTerm {
+		if err == nil && isPromoted(upstream.ID, sample, head, startedAt >= unchangedFrom) {
 			return sample, nil
 		}
 		if ctx.Err() != nil {
@@ -112,3 +114,15 @@
 		sleep(ctx, promotionPollInterval)
 	}
 }
+
+// isPromoted reports whether a sample of an upstream shows the effect of its promotion:
+// it is the primary of a term later than that of head. The platform changes nothing for
+// its present primary, so that of head need not have started a term if the sample was
+// taken after promotionEffectTime, which settled tells.
+func isPromoted(id model.UpstreamID, sample Sample, head model.GroupHead, settled bool) bool {
+	if !sample.Primary {
+		return false
+	}
+	unchanged := id == head.Primary && sample.Term == head.Timeline
+	return sample.Term > head.Timeline || unchanged && settled
+}
--- /dev/null
+++ b/pkg/coordination/region/promote_test.go
@@ -0,0 +1,25 @@
+package region_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gypsumdock/pkg/coordination/region"
+	"gypsumdock/pkg/state/model"
+)
+
+// review/6: an order for the old primary is answered at once, whether the platform makes it
+// lead a new term a moment later or leaves it as it is.
+var _ = DescribeTable("a promotion that the platform has accepted has had its effect",
+	func(id model.UpstreamID, sample region.Sample, settled, expected bool) {
+		head := model.GroupHead{Primary: "old", Timeline: 4}
+		Expect(region.IsPromoted(id, sample, head, settled)).To(Equal(expected))
+	},
+	Entry("once a replica leads a later term", model.UpstreamID("new"), region.Sample{Primary: true, Term: 5}, false, true),
+	Entry("not while it is a replica", model.UpstreamID("new"), region.Sample{Term: 5}, true, false),
+	Entry("not by a lead in the term of the head row", model.UpstreamID("new"), region.Sample{Primary: true, Term: 4}, true, false),
+	Entry("once the old primary leads a later term", model.UpstreamID("old"), region.Sample{Primary: true, Term: 6}, false, true),
+	Entry("not while the old primary may still start one", model.UpstreamID("old"), region.Sample{Primary: true, Term: 4}, false, false),
+	Entry("once the old primary has not started one", model.UpstreamID("old"), region.Sample{Primary: true, Term: 4}, true, true),
+	Entry("not while the old primary follows another one", model.UpstreamID("old"), region.Sample{Term: 5}, true, false),
+)
--- a/pkg/instance/hosted.go
+++ b/pkg/instance/hosted.go
@@ -217,6 +217,7 @@
 			MaxPromiseTime:       maxPromiseTime,
 			PromotionLease:       promotionLease,
 			PromotionLeaseWait:   promotionLeaseWait,
+			PlatformPromotes:     true,
 			MinMembers:           join.MinMembers,
 			MaxMembers:           join.MaxMembers,
 			JoinDelay:            join.JoinDelay,
--- a/pkg/state/failover/candidate.go
+++ b/pkg/state/failover/candidate.go
@@ -30,10 +30,25 @@
 // isPromoted reports whether up has already been promoted: it takes writes on a
 // timeline that follows the generation's.
 func (m *Machine) isPromoted(gh model.GroupHead, up *upstream) bool {
-	if !m.isProbeFresh(up) || up.spec.ID == gh.Primary {
-		return false
+	return m.isProbeFresh(up) && !up.probe.Recovering && up.probe.Timeline > gh.Timeline
+}
+
+// promotedUpstream returns the upstream on the newest timeline that the platform has
+// promoted without the head row naming it as primary, or nil.
+func (m *Machine) promotedUpstream(g *group, gh model.GroupHead) *upstream {
+	if !m.cfg.PlatformPromotes {
+		return nil
+	}
+	var newest *upstream
+	for _, up := range g.upstreams {
+		if !m.isPromoted(gh, up) {
+			continue
+		}
+		if newest == nil || up.probe.Timeline > newest.probe.Timeline {
+			newest = up
+		}
 	}
-	return !up.probe.Recovering && up.probe.Timeline > gh.Timeline
+	return newest
 }
 
 // mostAdvancedReplica returns the replica with the highest log position that is
--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -134,6 +134,11 @@
 	// may take to execute.
 	PromotionLease     time.Duration
 	PromotionLeaseWait time.Duration
+	// PlatformPromotes is true where the platform promotes the upstreams of a
+	// group one at a time: each promotion starts a timeline with a higher number
+	// and deposes the primary before, whether or not the head row names it.
+	// PostgreSQL servers are promoted independently of each other instead.
+	PlatformPromotes bool
 	// MaxMembers is the number of members from which on this instance does not
 	// register, but stays an observer; zero for no bound. Each row may exceed
 	// the bound of an instance with a lower one.
--- a/pkg/state/failover/events.go
+++ b/pkg/state/failover/events.go
@@ -67,7 +67,8 @@
 // Promoted is the answer to a Promote; OK is false if the promotion failed.
 // Promote is idempotent: an upstream that has already been promoted answers
 // with the timeline that it started and the position at which that timeline
-// starts.
+// starts. Where the platform promotes, the old primary answers with its present
+// timeline if it never lost the lead.
 type Promoted struct {
 	Group    model.GroupID
 	Upstream model.UpstreamID
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -136,10 +136,12 @@
 		m.reportSeal(g, gh)
 	}
 	if g.seal.content != *gh.Seal {
-		g.seal.takenOver = g.seal.takenOver || g.seal.content.By != "" && g.seal.content.By != gh.Seal.By
+		if g.seal.content.By != gh.Seal.By {
+			g.seal.promoterAt = m.now
+		}
 		g.seal.content = *gh.Seal
 		g.seal.contentAt = m.now
-		g.promotion.ordered = false
+		g.promotion.nextSeal()
 	}
 	m.stopWriting(g, gh.Generation, gh.Seal.Planned)
 }
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -140,7 +140,7 @@
 // a planned switch's target; empty keeps the target. If the primary is lost,
 // the switch becomes a failover to the most advanced replica. If the target has
 // not caught up within SwitchTimeout, the old primary stays.
-func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream, healthy bool) model.UpstreamID {
+func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
 	if g.lost {
 		best := m.mostAdvancedReplica(g, gh, "")
 		if best != nil {
@@ -149,6 +149,8 @@
 		return ""
 	}
 	late := m.now-g.seal.learnedAt >= m.cfg.SwitchTimeout
+	primary := g.upstream(gh.Primary)
+	healthy := m.isProbeFresh(primary) && m.isServing(g, primary)
 	if late && healthy && !m.hasCaughtUp(g, gh, target) {
 		if m.writes.pending == nil {
 			m.report(ReportSwitchRefused, g.id, "the target did not catch up in time")
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -16,8 +16,8 @@
 	content   model.Seal
 	// contentAt is when this instance learned of content.
 	contentAt time.Duration
-	// takenOver is true if the promoter in content replaced an earlier one.
-	takenOver bool
+	// promoterAt is when this instance learned of the promoter in content.
+	promoterAt time.Duration
 	// confirmed holds the members that confirmed that they hold no permit for
 	// the generation and never will again.
 	confirmed map[model.InstanceID]bool
@@ -37,8 +37,14 @@
 	lastOrderedAt  time.Duration
 	// result is the newest successful answer, or nil.
 	result *Promoted
+	// orderedAny is true if this instance has ordered a promotion under any seal
+	// of the generation.
+	orderedAny bool
 }
 
+// nextSeal discards what belongs to the seal before.
+func (r *promotionRecord) nextSeal() { *r = promotionRecord{orderedAny: r.orderedAny} }
+
 // decidePromotion continues the change of primary of which this instance is the
 // promoter: it stops the permit holders, has the candidate promoted, and starts
 // the next generation.
@@ -50,17 +56,26 @@
 	if !m.haveHoldersStopped(g) {
 		return
 	}
-	if gh.Seal.Candidate == gh.Primary {
+	if gh.Seal.Candidate == gh.Primary && !m.mayHavePromoted(g, gh) {
 		m.startOnOldPrimary(g, gh, changes)
 		return
 	}
-	if g.promotion.result != nil && g.promotion.result.Upstream == gh.Seal.Candidate {
-		m.startOnCandidate(gh, *g.promotion.result, changes)
+	if g.promotion.result != nil {
+		m.startOnCandidate(g, gh, *g.promotion.result, changes)
 		return
 	}
 	m.promoteCandidate(g, gh, changes)
 }
 
+// mayHavePromoted reports whether the platform may have promoted an upstream of
+// the sealed group, and thereby deposed its primary. The upstreams need not show
+// that: the promoted one may be out of reach for all others. The old primary may
+// then start a generation only if the platform has promoted it again, or has
+// confirmed that it is still the primary.
+func (m *Machine) mayHavePromoted(g *group, gh model.GroupHead) bool {
+	return m.cfg.PlatformPromotes && (g.promotion.orderedAny || gh.Seal.TakenOver)
+}
+
 // sendStopWrites asks the members that have not confirmed yet to give up their
 // permits. One that does not confirm may be cut off from the table and not know
 // this instance, so that it cannot answer: it gets the head row too.
@@ -134,9 +149,9 @@
 		}
 	}
 	if m.isPromotionTimedOut(g, candidate) {
-		other := m.mostAdvancedReplica(g, gh, gh.Seal.Candidate)
-		if other != nil {
-			m.sealGroup(gh, other.spec.ID, gh.Seal.Next+1, false, changes)
+		other := m.otherCandidate(g, gh)
+		if other != "" {
+			m.sealGroup(gh, other, gh.Seal.Next+1, false, changes)
 			return
 		}
 	}
@@ -158,7 +173,7 @@
 	if next == "" || m.now-g.seal.contentAt < m.cfg.DetectAfter {
 		return false
 	}
-	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal.By = next })
+	replacePromoter(gh.ID, next, changes)
 	return true
 }
 
@@ -184,15 +199,20 @@
 }
 
 // replacementCandidate returns the upstream that is to become primary in place
-// of candidate, as long as no promotion has been ordered; empty keeps
-// candidate.
+// of candidate, as long as this instance has not ordered its promotion; empty
+// keeps candidate.
 func (m *Machine) replacementCandidate(g *group, gh model.GroupHead, candidate *upstream) model.UpstreamID {
-	primary := g.upstream(gh.Primary)
-	healthy := primary != nil && m.isProbeFresh(primary) && m.isServing(g, primary)
+	promoted := m.promotedUpstream(g, gh)
+	if promoted != nil {
+		return promoted.spec.ID
+	}
+	if gh.Seal.Candidate == gh.Primary {
+		return m.replacementOfPrimary(g, gh, candidate)
+	}
 	if gh.Seal.Planned {
-		return m.replacementTarget(g, gh, candidate, healthy)
+		return m.replacementTarget(g, gh, candidate)
 	}
-	if healthy && primary.probe.StartedAt >= g.seal.holdersStoppedAt {
+	if m.isPrimaryUsable(g, gh) {
 		return gh.Primary
 	}
 	best := m.mostAdvancedReplica(g, gh, "")
@@ -205,6 +225,43 @@
 	return ""
 }
 
+// replacementOfPrimary returns the replica that is to become primary in place of
+// the old primary, if that is lost.
+func (m *Machine) replacementOfPrimary(g *group, gh model.GroupHead, primary *upstream) model.UpstreamID {
+	if primary == nil || !m.isLost(primary) {
+		return ""
+	}
+	best := m.mostAdvancedReplica(g, gh, "")
+	if best == nil {
+		return ""
+	}
+	return best.spec.ID
+}
+
+// isPrimaryUsable reports whether the old primary was found healthy after the last
+// permit had expired or was given up. It then has every acknowledged write.
+func (m *Machine) isPrimaryUsable(g *group, gh model.GroupHead) bool {
+	primary := g.upstream(gh.Primary)
+	return m.isProbeFresh(primary) && m.isServing(g, primary) && primary.probe.StartedAt >= g.seal.holdersStoppedAt
+}
+
+// otherCandidate returns the upstream that is to become primary in place of a
+// candidate whose promotion timed out; empty if there is none.
+func (m *Machine) otherCandidate(g *group, gh model.GroupHead) model.UpstreamID {
+	promoted := m.promotedUpstream(g, gh)
+	if promoted != nil && promoted.spec.ID != gh.Seal.Candidate {
+		return promoted.spec.ID
+	}
+	if gh.Seal.Candidate != gh.Primary && m.isPrimaryUsable(g, gh) {
+		return gh.Primary
+	}
+	other := m.mostAdvancedReplica(g, gh, gh.Seal.Candidate)
+	if other == nil {
+		return ""
+	}
+	return other.spec.ID
+}
+
 // isPromotionTimedOut reports whether the order to promote has had no success
 // for PromoteTimeout with a candidate that is lost, or for twice as long with
 // any.
@@ -230,7 +287,7 @@
 // newest read of the head row is younger than PromotionLease, and the leases of
 // earlier promoters have expired, of this generation and of the one that ended.
 func (m *Machine) holdsPromotionLease(g *group, gh model.GroupHead) bool {
-	if g.seal.takenOver && m.now-g.seal.contentAt < m.cfg.PromotionLeaseWait {
+	if gh.Seal.TakenOver && m.now-g.seal.promoterAt < m.cfg.PromotionLeaseWait {
 		return false
 	}
 	holder := m.leaseHolder(g, gh)
@@ -258,6 +315,7 @@
 		g.promotion.firstOrderedAt = m.now
 	}
 	g.promotion.ordered = true
+	g.promotion.orderedAny = true
 	g.promotion.lastOrderedAt = m.now
 	m.emit(Promote{Group: g.id, Upstream: gh.Seal.Candidate, Next: gh.Seal.Next})
 }
@@ -268,15 +326,24 @@
 		return
 	}
 	gh, found := m.groupHead(g.id)
-	if !found || gh.Seal == nil || gh.Seal.Candidate != event.Upstream || event.Timeline <= gh.Timeline {
+	if !found || gh.Seal == nil || gh.Seal.Candidate != event.Upstream || gh.Seal.Next != event.Next {
+		return
+	}
+	if event.Timeline > gh.Timeline {
+		m.report(ReportPromoted, g.id, string(event.Upstream))
+	} else if event.Upstream != gh.Primary || event.Timeline < gh.Timeline {
 		return
 	}
 	g.promotion.result = &event
-	m.report(ReportPromoted, g.id, string(event.Upstream))
 }
 
-// startOnCandidate starts the next generation on the promoted candidate.
-func (m *Machine) startOnCandidate(gh model.GroupHead, result Promoted, changes *edits) {
+// startOnCandidate starts the next generation on the promoted candidate, or on the
+// old primary if the platform has confirmed that it still is the primary.
+func (m *Machine) startOnCandidate(g *group, gh model.GroupHead, result Promoted, changes *edits) {
+	if result.Timeline == gh.Timeline {
+		m.startOnOldPrimary(g, gh, changes)
+		return
+	}
 	m.startGeneration(gh, result.Timeline, result.StartLSN, changes)
 }
 
--- a/pkg/state/failover/seal.go
+++ b/pkg/state/failover/seal.go
@@ -51,7 +51,10 @@
 // writes.
 func (m *Machine) decideLost(g *group, gh model.GroupHead, changes *edits) {
 	stagger := time.Duration(m.sealRank(g, gh)) * m.cfg.SealStagger
-	candidate := m.mostAdvancedReplica(g, gh, "")
+	candidate := m.promotedUpstream(g, gh)
+	if candidate == nil {
+		candidate = m.mostAdvancedReplica(g, gh, "")
+	}
 	if candidate == nil || m.now-g.lostSince < stagger || !m.isHeadFresh() {
 		return
 	}
@@ -61,6 +64,9 @@
 // sealGroup writes a seal with this instance as promoter.
 func (m *Machine) sealGroup(gh model.GroupHead, candidate model.UpstreamID, next model.Generation, planned bool, changes *edits) {
 	content := model.Seal{Next: next, Candidate: candidate, By: m.self, Planned: planned}
+	if gh.Seal != nil {
+		content.TakenOver = gh.Seal.TakenOver
+	}
 	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal = &content })
 }
 
@@ -84,5 +90,13 @@
 	if m.now-g.seal.contentAt < wait || !m.isHeadFresh() {
 		return
 	}
-	changes.addGroup(gh.ID, func(group *model.GroupHead) { group.Seal.By = m.self })
+	replacePromoter(gh.ID, m.self, changes)
+}
+
+// replacePromoter makes another member the promoter of a sealed group.
+func replacePromoter(id model.GroupID, promoter model.InstanceID, changes *edits) {
+	changes.addGroup(id, func(group *model.GroupHead) {
+		group.Seal.By = promoter
+		group.Seal.TakenOver = true
+	})
 }
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -12,10 +12,17 @@
 const (
 	// hostedSeeds is the number of runs of each scenario.
 	hostedSeeds = 20
+	// hostedSearchSeeds is the number of schedules with random faults.
+	hostedSearchSeeds uint64 = 300
 	// Each of leavingPrimaries leaves as soon as the members know it, or up to
 	// leavingDelay later.
 	leavingPrimaries = 10
 	leavingDelay     = 800 * time.Millisecond
+	// A promoter freezes for freezeTime, an upstream that has begun to lead goes dark
+	// darkAfter later for darkTime.
+	freezeTime = 3500 * time.Millisecond
+	darkAfter  = 200 * time.Millisecond
+	darkTime   = 7 * time.Second
 )
 
 // settledHostedWorld returns a world in which the platform promotes, without faults at
@@ -36,6 +43,12 @@
 	}
 }
 
+// darken takes an upstream away for darkTime.
+func (w *world) darken(up *server) {
+	up.alive = false
+	w.after(darkTime, func() { up.alive = true })
+}
+
 var _ = Describe("a group that the platform promotes", func() {
 	// review/10: the rank of the members, and not who held the promotion lease, decided
 	// who replaced the next leaving primary, so that two holders took turns.
@@ -54,4 +67,77 @@
 			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
 		}
 	})
+
+	// review/6: the promoter froze after its order was accepted, and the new primary went dark
+	// before the head row named it. The member that took over made the old primary, which the
+	// platform had deposed, the primary again.
+	It("acknowledges no write at the old primary if the promoter freezes after its order", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.hosted.onOrder = func(by *node) { by.pause(freezeTime) }
+			w.hosted.onLead = func(up *server) { w.after(darkAfter, func() { w.darken(up) }) }
+			w.leave(w.server("u1"))
+			w.continueFor(2 * scenarioFor)
+			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
+			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			Expect(w.longestPause(settleTime)).To(BeNumerically("<", scenarioFor), "seed %d", seed)
+		}
+	})
+
+	// review/6, without a fault on any instance: a promoter whose candidate was silent gave up the
+	// seal, and forgot with it that it had ordered a promotion.
+	It("acknowledges no write at the old primary if the candidate is silent after the order", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.hosted.onLead = w.darken
+			w.leave(w.server("u1"))
+			w.continueFor(2 * scenarioFor)
+			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
+			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+		}
+	})
+
+	// A promoter that takes over cannot tell whether a promotion was ordered. If none was, the
+	// platform confirms the old primary, which must not stay sealed.
+	It("keeps the old primary if the promoter freezes before its order and the candidate is silent", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.table.onSeal = func(*world) {
+				w.darken(w.server(w.table.group().Seal.Candidate))
+				w.promoter().pause(freezeTime)
+			}
+			w.requestSwitch("u2")
+			w.continueFor(2 * scenarioFor)
+			Expect(w.table.group().Primary).To(BeEquivalentTo("u1"), "seed %d", seed)
+			Expect(w.hosted.term).To(BeEquivalentTo(1), "seed %d", seed)
+			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+		}
+	})
+
+	// An order that reaches the platform late may promote an upstream while the group is open. If
+	// the primary is lost then, the replicas follow that upstream, and none is on the timeline
+	// of the head row.
+	It("is served by an upstream that was promoted while the group was open", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.server("u1").alive = false
+			w.lead(w.server("u2"))
+			w.continueFor(scenarioFor)
+			Expect(w.table.group().Primary).To(BeEquivalentTo("u2"), "seed %d", seed)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+		}
+	})
+
+	It("keeps every invariant under random faults", func() {
+		var total tally
+		for seed := range hostedSearchSeeds {
+			w := newHostedWorld(seed, failover.Rules{}, 3+int(seed%3))
+			total.add(seed, runWorld(w, allFaults))
+		}
+		Expect(total.violations).To(BeEmpty())
+		Expect(total.generations).To(BeNumerically(">", total.schedules/2))
+	})
 })
--- a/pkg/state/model/head.go
+++ b/pkg/state/model/head.go
@@ -54,6 +54,9 @@
 	Candidate UpstreamID `json:"candidate"`
 	// By is the instance that carries out the change.
 	By InstanceID `json:"by"`
+	// TakenOver is true if another instance carried out the change before By.
+	// It may have ordered promotions that nothing else here tells of.
+	TakenOver bool `json:"taken_over,omitempty"`
 	// Planned is true for a planned switch and false for a failover.
 	Planned bool `json:"planned"`
 }
