A promoter that takes over knows that it has stopped itself

Cause: a promoter waited for its own confirmation, which was recorded only at the moment it gave its permit up. A member that had read the seal under an earlier promoter had done so before. Waiting for permits to expire, the other way, is closed to all while nobody is established.

Change: the promoter asks its own state (stoppedGeneration) instead of a confirmation that it sends to itself.

--- a/pkg/state/failover/permit.go
+++ b/pkg/state/failover/permit.go
@@ -151,13 +151,9 @@
 	m.sendWritesStopped(g, generation, promoter)
 }
 
-// sendWritesStopped confirms to a promoter, which may be this instance, that
-// the permit for generation was given up.
+// sendWritesStopped confirms to a promoter that the permit for generation was
+// given up.
 func (m *Machine) sendWritesStopped(g *group, generation model.Generation, to model.InstanceID) {
-	if to == m.self {
-		g.seal.confirmed[m.self] = true
-		return
-	}
 	m.send(to, WritesStopped{Group: g.id, Generation: generation, HeadVersion: m.head.Version})
 }
 
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -18,8 +18,8 @@
 	contentAt time.Duration
 	// promoterAt is when this instance learned of the promoter in content.
 	promoterAt time.Duration
-	// confirmed holds the members that confirmed that they hold no permit for
-	// the generation and never will again.
+	// confirmed holds the other members that confirmed that they hold no permit
+	// for the generation and never will again.
 	confirmed map[model.InstanceID]bool
 	// stopSentAt is when StopWrites was last sent.
 	stopSentAt time.Duration
@@ -86,7 +86,7 @@
 	resent := g.seal.stopSentAt != 0
 	g.seal.stopSentAt = m.now
 	for _, member := range m.head.Members {
-		if g.seal.confirmed[member.ID] {
+		if m.hasStopped(g, member.ID) {
 			continue
 		}
 		if resent {
@@ -123,13 +123,23 @@
 		if m.cfg.Rules.ConfirmByServers && !g.isServedBy(member.ID) {
 			continue
 		}
-		if !g.seal.confirmed[member.ID] {
+		if !m.hasStopped(g, member.ID) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasStopped reports whether a member has confirmed that it holds no permit for the
+// sealed generation. This instance knows that of itself: it may have given its permit
+// up, or never held one, before it became promoter.
+func (m *Machine) hasStopped(g *group, id model.InstanceID) bool {
+	if id == m.self {
+		return g.stoppedGeneration >= g.seal.generation
+	}
+	return g.seal.confirmed[id]
+}
+
 // promoteCandidate orders the promotion of the candidate, or names another
 // candidate or promoter in the seal.
 func (m *Machine) promoteCandidate(g *group, gh model.GroupHead, changes *edits) {
--- a/pkg/state/failover/search/hosted_test.go
+++ b/pkg/state/failover/search/hosted_test.go
@@ -9,6 +9,7 @@
 
 const (
 	// The settings and times of a world in which the platform promotes.
+	hostedMaxPromise    = time.Minute
 	hostedLease         = 1200 * time.Millisecond
 	hostedLeaseWait     = 2500 * time.Millisecond
 	hostedSwitchTimeout = 1500 * time.Millisecond
@@ -64,6 +65,7 @@
 // configure completes the settings of an instance.
 func (h *hosted) configure(config *failover.Config) {
 	config.PlatformPromotes = true
+	config.MaxPromiseTime = hostedMaxPromise
 	config.PromotionLease = hostedLease
 	config.PromotionLeaseWait = hostedLeaseWait
 	config.SwitchTimeout = hostedSwitchTimeout
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -1,6 +1,7 @@
 package search_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -23,6 +24,10 @@
 	freezeTime = 3500 * time.Millisecond
 	darkAfter  = 200 * time.Millisecond
 	darkTime   = 7 * time.Second
+	// restartTime is how long all nodes are gone in a restart of all, and recoveryTime the
+	// time after which the group must be served again.
+	restartTime  = 1200 * time.Millisecond
+	recoveryTime = 12 * time.Second
 )
 
 // settledHostedWorld returns a world in which the platform promotes, without faults at
@@ -49,6 +54,19 @@
 	w.after(darkTime, func() { up.alive = true })
 }
 
+// restartAll ends all nodes, and starts as many on the same machines.
+func (w *world) restartAll() {
+	ended := slices.Clone(w.nodes)
+	for _, n := range ended {
+		n.dead = true
+	}
+	w.after(restartTime, func() {
+		for _, n := range ended {
+			w.joinOn(n.hardware)
+		}
+	})
+}
+
 var _ = Describe("a group that the platform promotes", func() {
 	// review/10: the rank of the members, and not who held the promotion lease, decided
 	// who replaced the next leaving primary, so that two holders took turns.
@@ -131,6 +149,20 @@
 		}
 	})
 
+	// review/8: all processes were killed while the group was sealed and came back. The member that
+	// took the seal over waited for its own confirmation, which it never sends to itself.
+	It("has a primary again soon after a restart of all while it is sealed", func() {
+		for seed := range uint64(hostedSeeds) {
+			for _, after := range []time.Duration{0, promoteTime / 2, 2 * promoteTime} {
+				w := settledHostedWorld(seed)
+				w.table.onSeal = func(w *world) { w.after(after, w.restartAll) }
+				w.leave(w.server("u1"))
+				w.continueFor(recoveryTime + restartTime + time.Second)
+				Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d, %v after the seal", seed, after)
+			}
+		}
+	})
+
 	It("keeps every invariant under random faults", func() {
 		var total tally
 		for seed := range hostedSearchSeeds {
--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -11,9 +11,11 @@
 // node is a simulated instance: a real failover.Machine with its own clock, and
 // traffic that writes.
 type node struct {
-	w        *world
-	id       model.InstanceID
-	dc       model.DataCentre
+	w  *world
+	id model.InstanceID
+	dc model.DataCentre
+	// hardware is the number of the machine on which it runs.
+	hardware int
 	machine  *failover.Machine
 	view     failover.View
 	bootedAt time.Duration
@@ -43,15 +45,19 @@
 	timeBeforeFirstTick = 10 * time.Millisecond
 )
 
-// join starts a new instance.
-func (w *world) join() *node {
-	i := len(w.nodes)
+// join starts a new instance on a machine of its own.
+func (w *world) join() *node { return w.joinOn(len(w.nodes)) }
+
+// joinOn starts a new instance on the machine with this number.
+func (w *world) joinOn(hardware int) *node {
 	n := &node{
-		w: w, id: model.InstanceID(fmt.Sprintf("i%02d", i+1)), dc: dataCentre(i), bootedAt: w.now - time.Second,
+		w: w, id: model.InstanceID(fmt.Sprintf("i%02d", len(w.nodes)+1)), hardware: hardware, dc: dataCentre(hardware), bootedAt: w.now - time.Second,
 		rate: 1 + maxClockError*(2*w.rng.Float64()-1), noUpstream: map[model.UpstreamID]bool{},
 	}
 	config := failover.Config{
-		Self:           model.Member{ID: n.id, DataCentre: n.dc, Address: "127.0.0.1:0"},
+		Self: model.Member{
+			ID: n.id, DataCentre: n.dc, Address: "127.0.0.1:0", Machine: fmt.Sprintf("machine-%d", hardware),
+		},
 		MaxPromiseTime: searchMaxPromise,
 		EvictAfter:     searchEvictAfter,
 		Rules:          w.rules,
