An entry that no database can have written names no database

Here no process ended, with eleven kinds of entries and real processes. But an entry with a port out of range, or with 2^63-1 slots, was taken for a database. With sync_replicas 1 a lost or draining primary was then not replaced, as the replica that never answered might have had every acknowledged write.

--- a/testbench/hosted/group.go
+++ b/testbench/hosted/group.go
@@ -64,6 +64,9 @@
 	PromoteTime    time.Duration
 	// Lag is the time by which replicas apply late.
 	Lag time.Duration
+	// SyncReplicas is the configured number of replicas that must have a commit
+	// before it is acknowledged. The stand-in does not wait for them.
+	SyncReplicas int
 }
 
 // StartGroup starts a group, the first database of which is the primary.
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -205,6 +205,45 @@
 		must(dial(system, 3, hosted.DatabaseBounded), "READ a")
 	})
 
+	// Another writer's entry names no database to use, and may neither end a process nor stop what
+	// follows the list. One with a port that does not exist counted as a replica that might have
+	// every acknowledged write, so that a lost primary was never replaced.
+	It("serves beside odd entries among those of the databases", func() {
+		options := hosted.DefaultOptions()
+		options.Group.SyncReplicas = 1
+		system := startWith(options)
+		client := dial(system, 0, hosted.DatabaseLatest)
+		must(client, "WRITE a 1")
+		for key, entry := range oddDatabases(system.Group.Name) {
+			system.Store.Put("servers", key, []byte(entry))
+		}
+		before := system.Group.Primary()
+		before.Crash()
+		must(client, "WRITE a 2")
+		Expect(before.Start()).To(Succeed())
+		for _, instance := range system.Instances {
+			Expect(instance.Process().Exited()).To(BeFalse())
+		}
+		// A process that starts reads the whole list.
+		Expect(system.Instances[1].Process().Kill()).To(Succeed())
+		Expect(system.Instances[1].Start()).To(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(system.Instances[1].WaitReady(ctx)).To(Succeed())
+		Expect(must(dial(system, 1, hosted.DatabaseLatest), "READ a").Rows).To(Equal([]string{"2"}))
+		second := system.Group.Primary()
+		second.SetDraining(true)
+		Eventually(func() bool {
+			primary := system.Group.Primary()
+			return primary != nil && primary.ID != second.ID
+		}, patience, 50*time.Millisecond).Should(BeTrue())
+		must(client, "WRITE a 3")
+		for _, instance := range system.Instances {
+			Expect(instance.Process().Exited()).To(BeFalse())
+		}
+		Expect(system.Group.Violations()).To(BeEmpty())
+	})
+
 	It("serves writes while the store is away, and comes back from nothing with it", func() {
 		system := start()
 		client := dial(system, 0, hosted.DatabaseLatest)
--- a/testbench/hosted/system.go
+++ b/testbench/hosted/system.go
@@ -183,7 +183,8 @@
 		"version": version,
 		"routes":  routes,
 		"services": []any{map[string]any{
-			"name": s.options.Group.Name, "max_connections": s.options.Group.MaxConnections, "sync_replicas": 0,
+			"name": s.options.Group.Name, "max_connections": s.options.Group.MaxConnections,
+			"sync_replicas": s.options.Group.SyncReplicas,
 		}},
 		"limits": map[string]any{"transaction_idle_ms": 3000},
 	}
