No generation is contested where the platform promotes

Cause: a generation with several named candidates counts as contested, since two PostgreSQL servers may start the same timeline. Hosted instances don't know whom a replica follows, so they used no replica at all then.

Change: with PlatformPromotes no generation is contested, as a platform numbers its terms.

Test: search, "is switched from a leaving primary after a failover whose first candidate failed", failed before.

--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -381,8 +381,12 @@
 }
 
 // isContested reports whether another upstream may have started the timeline of
-// the generation that follows gh, since an earlier candidate was replaced.
-func isContested(gh model.GroupHead) bool {
+// the generation that follows gh, since an earlier candidate was replaced. Where
+// the platform promotes, no two upstreams start the same timeline.
+func (m *Machine) isContested(gh model.GroupHead) bool {
+	if m.cfg.PlatformPromotes {
+		return false
+	}
 	if gh.Seal.Candidate == gh.Primary {
 		return gh.Contested
 	}
@@ -393,7 +397,7 @@
 func (m *Machine) startGeneration(gh model.GroupHead, timeline uint32, start model.LSN, changes *edits) {
 	changes.addGroup(gh.ID, func(group *model.GroupHead) {
 		group.Generation = gh.Seal.Next
-		group.Contested = isContested(gh)
+		group.Contested = m.isContested(gh)
 		group.Primary = gh.Seal.Candidate
 		group.StartLSN = start
 		group.Timeline = timeline
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -28,6 +28,8 @@
 	// time after which the group must be served again.
 	restartTime  = 1200 * time.Millisecond
 	recoveryTime = 12 * time.Second
+	// drainTime is the time after which a leaving upstream gets no requests.
+	drainTime = 7 * time.Second
 )
 
 // settledHostedWorld returns a world in which the platform promotes, without faults at
@@ -135,6 +137,25 @@
 		}
 	})
 
+	// review/more/leaving-primary-stays: a generation for which two candidates had been named was
+	// taken for one whose timeline two upstreams may have started, so that no replica was a
+	// target of the next switch.
+	It("is switched from a leaving primary after a failover whose first candidate failed", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.server("u1").alive = false
+			w.table.onSeal = func(*world) { w.darken(w.server(w.table.group().Seal.Candidate)) }
+			w.continueFor(scenarioFor)
+			w.server("u1").alive = true
+			w.continueFor(scenarioFor)
+			Expect(w.table.group().Generation).To(BeNumerically(">", 2), "seed %d", seed)
+			old := w.table.group().Primary
+			w.leave(w.server(old))
+			w.continueFor(drainTime)
+			Expect(w.table.group().Primary).NotTo(Equal(old), "seed %d", seed)
+		}
+	})
+
 	// An order that reaches the platform late may promote an upstream while the group is open. If
 	// the primary is lost then, the replicas follow that upstream, and none is on the timeline
 	// of the head row.
