A replica that follows a forgotten primary can become the next one

Cause: candidates had to be on the timeline of the head row, and all others had followed the lost one to its timeline.

Change: in a sealed generation in which a promotion may have been ordered, a replica on a later timeline is eligible, unless routes wait for replicas. No write was acknowledged on that timeline, so its log is a part of the generation's.

--- a/pkg/state/failover/candidate.go
+++ b/pkg/state/failover/candidate.go
@@ -51,6 +51,23 @@
 	return newest
 }
 
+// followsPromoted reports whether up follows an upstream that the platform has promoted
+// in the sealed generation. No write was acknowledged on that timeline, as no
+// generation has started on it, so up has a part of the generation's log and nothing
+// else. If routes wait for replicas, up may lack a write that they waited for.
+func (m *Machine) followsPromoted(g *group, gh model.GroupHead, up *upstream) bool {
+	if gh.Seal == nil || g.syncReplicas > 0 || !m.mayHavePromoted(g, gh) {
+		return false
+	}
+	return m.isProbeFresh(up) && up.probe.Recovering && up.probe.Timeline > gh.Timeline
+}
+
+// isEligible reports whether up can become the next primary: it is a replica of the
+// generation, or follows an upstream that was promoted in its place.
+func (m *Machine) isEligible(g *group, gh model.GroupHead, up *upstream) bool {
+	return m.isReplica(gh, up) || m.followsPromoted(g, gh, up)
+}
+
 // mostAdvancedReplica returns the replica with the highest log position that is
 // neither leaving nor named by except, or nil. If routes wait for
 // g.syncReplicas replicas before they acknowledge a write, it returns nil
@@ -60,7 +77,7 @@
 	var best *upstream
 	eligible := 0
 	for _, up := range g.upstreams {
-		if !m.isReplica(gh, up) {
+		if !m.isEligible(g, gh, up) {
 			continue
 		}
 		if up.spec.Leaving || up.spec.ID == except {
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -229,16 +229,16 @@
 	if best == nil {
 		return ""
 	}
-	if !m.isReplica(gh, candidate) || best.probe.LSN > candidate.probe.LSN {
+	if !m.isEligible(g, gh, candidate) || best.probe.LSN > candidate.probe.LSN {
 		return best.spec.ID
 	}
 	return ""
 }
 
 // replacementOfPrimary returns the replica that is to become primary in place of
-// the old primary, if that is lost.
+// the old primary, if that is lost and follows no upstream that was promoted.
 func (m *Machine) replacementOfPrimary(g *group, gh model.GroupHead, primary *upstream) model.UpstreamID {
-	if primary == nil || !m.isLost(primary) {
+	if primary == nil || !m.isLost(primary) || m.followsPromoted(g, gh, primary) {
 		return ""
 	}
 	best := m.mostAdvancedReplica(g, gh, "")
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -28,6 +28,8 @@
 	// time after which the group must be served again.
 	restartTime  = 1200 * time.Millisecond
 	recoveryTime = 12 * time.Second
+	// followedAfter is the time in which all others follow a new primary.
+	followedAfter = 1400 * time.Millisecond
 	// drainTime is the time after which a leaving upstream gets no requests.
 	drainTime = 7 * time.Second
 )
@@ -184,6 +186,21 @@
 		}
 	})
 
+	// review/7: the new primary was lost for good before the head row named it. All others followed
+	// it, so that none was on the timeline of the head row.
+	It("has a primary again if one that the head row never named is lost for good", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.hosted.onOrder = func(*node) { w.restartAll() }
+			w.hosted.onLead = func(up *server) { w.after(followedAfter, func() { up.alive = false }) }
+			w.leave(w.server("u1"))
+			w.continueFor(2 * scenarioFor)
+			Expect(w.hosted.term).To(BeNumerically(">", 2), "seed %d", seed)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
+		}
+	})
+
 	It("keeps every invariant under random faults", func() {
 		var total tally
 		for seed := range hostedSearchSeeds {
