A takeover doesn't wait for established members if there are none

Change: a member that is not established waits for others only if one has confirmed its registration, or until each has had two requests' time to do so. Safety doesn't depend on it: what a promoter may do is decided after it.

--- a/pkg/state/failover/membership.go
+++ b/pkg/state/failover/membership.go
@@ -238,6 +238,21 @@
 	}
 }
 
+// unansweredRequests is the number of AdoptionAsked messages without an answer after
+// which no member is taken to be established.
+const unansweredRequests = 2
+
+// expectsEstablished reports whether this instance is not established but another
+// member may be: one has confirmed, or there was no time yet for all to answer. After
+// a restart of all instances none is.
+func (m *Machine) expectsEstablished() bool {
+	s := &m.membership
+	if s.established {
+		return false
+	}
+	return s.confirmed || m.now-s.registeredAt < unansweredRequests*m.cfg.MembershipRetryInterval
+}
+
 func (m *Machine) adoptionAsked(from model.InstanceID, message AdoptionAsked) {
 	if m.head == nil || !m.membership.established {
 		return
--- a/pkg/state/failover/seal.go
+++ b/pkg/state/failover/seal.go
@@ -72,8 +72,8 @@
 
 // decideTakeover makes this instance the promoter if the present one is
 // suspect, not registered any more, or makes no progress. Established members
-// come first, since the others need the confirmation of every member to
-// complete a promotion.
+// come first if there may be any, since the others need the confirmation of every
+// member to complete a promotion.
 func (m *Machine) decideTakeover(g *group, gh model.GroupHead, changes *edits) {
 	if !m.membership.registered || m.membership.finished {
 		return
@@ -83,7 +83,7 @@
 	if !registered || !m.tracker.IsResponsive(m.now, gh.Seal.By) {
 		wait = m.cfg.TakeoverSuspectAfter
 	}
-	if !m.membership.established {
+	if m.expectsEstablished() {
 		wait += m.cfg.TakeoverStuckAfter
 	}
 	wait += time.Duration(m.serverRank(g, "takeover/", gh.Seal.By)) * m.cfg.TakeoverStagger
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -30,6 +30,8 @@
 	recoveryTime = 12 * time.Second
 	// followedAfter is the time in which all others follow a new primary.
 	followedAfter = 1400 * time.Millisecond
+	// takeoverStuckAfter is the default of failover.Config.TakeoverStuckAfter.
+	takeoverStuckAfter = 5 * time.Second
 	// drainTime is the time after which a leaving upstream gets no requests.
 	drainTime = 7 * time.Second
 )
@@ -186,6 +188,24 @@
 		}
 	})
 
+	// Members that are not established leave a takeover to those that are. After a restart of all
+	// there are none, and the group waited another TakeoverStuckAfter for them.
+	It("is taken over by members that are not established if nobody is", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.hosted.onOrder = func(by *node) {
+				w.restartAll()
+				w.after(restartTime+takeoverStuckAfter, func() {
+					seal := w.table.group().Seal
+					Expect(seal == nil || seal.By != by.id).To(BeTrue(), "seed %d", seed)
+				})
+			}
+			w.leave(w.server("u1"))
+			w.continueFor(scenarioFor)
+			Expect(w.hosted.orders).NotTo(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	// review/7: the new primary was lost for good before the head row named it. All others followed
 	// it, so that none was on the timeline of the head row.
 	It("has a primary again if one that the head row never named is lost for good", func() {
