--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/model"
@@ -73,7 +74,18 @@
 // then start a generation only if the platform has promoted it again, or has
 // confirmed that it is still the primary.
 func (m *Machine) mayHavePromoted(g *group, gh model.GroupHead) bool {
-	return m.cfg.PlatformPromotes && (g.promotion.orderedAny || gh.Seal.TakenOver)
+	if !m.cfg.PlatformPromotes {
+		return false
+	}
+	return g.promotion.orderedAny || gh.Seal.TakenOver || m.isTimelineOutdated(g, gh)
+}
+
+// isTimelineOutdated reports whether an upstream is found on a later timeline than that
+// of the head row.
+func (m *Machine) isTimelineOutdated(g *group, gh model.GroupHead) bool {
+	return slices.ContainsFunc(g.upstreams, func(up *upstream) bool {
+		return m.isProbeFresh(up) && up.probe.Timeline > gh.Timeline
+	})
 }
 
 // sendStopWrites asks the members that have not confirmed yet to give up their
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -188,6 +188,30 @@
 		}
 	})
 
+	// A promoter that has ordered nothing, and took nothing over, may still see that the platform
+	// has promoted another upstream, for an order that reached it late.
+	It("acknowledges no write at the old primary if the replicas follow another one", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			target, other := w.server("u2"), w.server("u3")
+			target.stalled = true
+			for _, n := range w.nodes {
+				n.noUpstream[other.id] = true
+			}
+			w.continueFor(targetLagsFor)
+			w.table.onSeal = func(*world) {
+				w.after(hostedSwitchTimeout/2, func() {
+					target.stalled = false
+					w.lead(other)
+					w.after(darkAfter, func() { w.darken(other) })
+				})
+			}
+			w.requestSwitch("u2")
+			w.continueFor(2 * scenarioFor)
+			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+		}
+	})
+
 	// Members that are not established leave a takeover to those that are. After a restart of all
 	// there are none, and the group waited another TakeoverStuckAfter for them.
 	It("is taken over by members that are not established if nobody is", func() {
