--- a/pkg/state/failover/doc.go
+++ b/pkg/state/failover/doc.go
@@ -18,6 +18,9 @@
 //   - Candidate: the upstream that the seal names as the next primary.
 //   - Promoter: the member that the seal names as coordinator of the change.
 //   - Takeover: another member replaces the promoter in the seal.
+//   - Promotion lease: the time in which the promoter of a seal, or of the present
+//     generation, may order promotions. No other member orders one before it has
+//     expired.
 //   - Promise: a member's confirmation that it knows no newer head row. The
 //     promises of all members renew permits while the table gives no answer.
 //   - Eviction: the withdrawal of a member's right to hold permits, by another
@@ -31,7 +34,10 @@
 //     confirmed that they hold no permit, or until every permit has expired, and
 //     then orders the promotion of the candidate. Another member takes over from
 //     a promoter that is silent or makes no progress. A candidate that fails is
-//     replaced by a further seal with a higher next generation.
+//     replaced by a further seal with a higher next generation. The old primary
+//     can be the candidate. Where the platform promotes, an order that nothing
+//     tells of may have deposed it (see mayHavePromoted): it then starts a
+//     generation only after the platform has accepted an order for it too.
 //   - open again, in the next generation, with the candidate as primary.
 //
 // An instance is in one of these states:
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -70,6 +70,14 @@
 	failures int
 }
 
+// idOf returns the ID of an upstream, or an empty one for nil.
+func idOf(up *upstream) model.UpstreamID {
+	if up == nil {
+		return ""
+	}
+	return up.spec.ID
+}
+
 func newGroup(id model.GroupID) *group {
 	return &group{
 		id:      id,
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -142,11 +142,7 @@
 // not caught up within SwitchTimeout, the old primary stays.
 func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
 	if g.lost {
-		best := m.mostAdvancedReplica(g, gh, "")
-		if best != nil {
-			return best.spec.ID
-		}
-		return ""
+		return idOf(m.mostAdvancedReplica(g, gh, ""))
 	}
 	late := m.now-g.seal.learnedAt >= m.cfg.SwitchTimeout
 	primary := g.upstream(gh.Primary)
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"slices"
 	"time"
 
 	"gypsumdock/pkg/state/model"
@@ -68,90 +67,6 @@
 	m.promoteCandidate(g, gh, changes)
 }
 
-// mayHavePromoted reports whether the platform may have promoted an upstream of
-// the sealed group, and thereby deposed its primary. The upstreams need not show
-// that: the promoted one may be out of reach for all others. The old primary may
-// then start a generation only if the platform has promoted it again, or has
-// confirmed that it is still the primary.
-func (m *Machine) mayHavePromoted(g *group, gh model.GroupHead) bool {
-	if !m.cfg.PlatformPromotes {
-		return false
-	}
-	return g.promotion.orderedAny || gh.Seal.TakenOver || m.isTimelineOutdated(g, gh)
-}
-
-// isTimelineOutdated reports whether an upstream is found on a later timeline than that
-// of the head row.
-func (m *Machine) isTimelineOutdated(g *group, gh model.GroupHead) bool {
-	return slices.ContainsFunc(g.upstreams, func(up *upstream) bool {
-		return m.isProbeFresh(up) && up.probe.Timeline > gh.Timeline
-	})
-}
-
-// sendStopWrites asks the members that have not confirmed yet to give up their
-// permits. One that does not confirm may be cut off from the table and not know
-// this instance, so that it cannot answer: it gets the head row too.
-func (m *Machine) sendStopWrites(g *group, gh model.GroupHead) {
-	if g.seal.holdersStopped || g.seal.stopSentAt != 0 && m.now-g.seal.stopSentAt < m.cfg.ResendInterval {
-		return
-	}
-	resent := g.seal.stopSentAt != 0
-	g.seal.stopSentAt = m.now
-	for _, member := range m.head.Members {
-		if m.hasStopped(g, member.ID) {
-			continue
-		}
-		if resent {
-			m.send(member.ID, HeadSent{Head: m.head})
-		}
-		m.send(member.ID, StopWrites{
-			Group:       g.id,
-			Generation:  gh.Generation,
-			HeadVersion: m.head.Version,
-			Planned:     gh.Seal.Planned,
-		})
-	}
-}
-
-// haveHoldersStopped reports whether no permit of the sealed generation is
-// left: every member has confirmed, or this instance is established and has
-// waited until every permit from before the seal has expired.
-func (m *Machine) haveHoldersStopped(g *group) bool {
-	if g.seal.holdersStopped {
-		return true
-	}
-	waited := m.membership.established && m.now-g.seal.learnedAt >= m.cfg.permitExpiryWait()
-	if !waited && !m.allConfirmed(g) && !m.cfg.Rules.SkipConfirmation {
-		return false
-	}
-	g.seal.holdersStopped = true
-	g.seal.holdersStoppedAt = m.now
-	m.report(ReportHoldersStopped, g.id, "")
-	return true
-}
-
-func (m *Machine) allConfirmed(g *group) bool {
-	for _, member := range m.head.Members {
-		if m.cfg.Rules.ConfirmByServers && !g.isServedBy(member.ID) {
-			continue
-		}
-		if !m.hasStopped(g, member.ID) {
-			return false
-		}
-	}
-	return true
-}
-
-// hasStopped reports whether a member has confirmed that it holds no permit for the
-// sealed generation. This instance knows that of itself: it may have given its permit
-// up, or never held one, before it became promoter.
-func (m *Machine) hasStopped(g *group, id model.InstanceID) bool {
-	if id == m.self {
-		return g.stoppedGeneration >= g.seal.generation
-	}
-	return g.seal.confirmed[id]
-}
-
 // promoteCandidate orders the promotion of the candidate, or names another
 // candidate or promoter in the seal.
 func (m *Machine) promoteCandidate(g *group, gh model.GroupHead, changes *edits) {
@@ -220,70 +135,6 @@
 	return first
 }
 
-// replacementCandidate returns the upstream that is to become primary in place
-// of candidate, as long as this instance has not ordered its promotion; empty
-// keeps candidate.
-func (m *Machine) replacementCandidate(g *group, gh model.GroupHead, candidate *upstream) model.UpstreamID {
-	promoted := m.promotedUpstream(g, gh)
-	if promoted != nil {
-		return promoted.spec.ID
-	}
-	if gh.Seal.Candidate == gh.Primary {
-		return m.replacementOfPrimary(g, gh, candidate)
-	}
-	if gh.Seal.Planned {
-		return m.replacementTarget(g, gh, candidate)
-	}
-	if m.isPrimaryUsable(g, gh) {
-		return gh.Primary
-	}
-	best := m.mostAdvancedReplica(g, gh, "")
-	if best == nil {
-		return ""
-	}
-	if !m.isEligible(g, gh, candidate) || best.probe.LSN > candidate.probe.LSN {
-		return best.spec.ID
-	}
-	return ""
-}
-
-// replacementOfPrimary returns the replica that is to become primary in place of
-// the old primary, if that is lost and follows no upstream that was promoted.
-func (m *Machine) replacementOfPrimary(g *group, gh model.GroupHead, primary *upstream) model.UpstreamID {
-	if primary == nil || !m.isLost(primary) || m.followsPromoted(g, gh, primary) {
-		return ""
-	}
-	best := m.mostAdvancedReplica(g, gh, "")
-	if best == nil {
-		return ""
-	}
-	return best.spec.ID
-}
-
-// isPrimaryUsable reports whether the old primary was found healthy after the last
-// permit had expired or was given up. It then has every acknowledged write.
-func (m *Machine) isPrimaryUsable(g *group, gh model.GroupHead) bool {
-	primary := g.upstream(gh.Primary)
-	return m.isProbeFresh(primary) && m.isServing(g, primary) && primary.probe.StartedAt >= g.seal.holdersStoppedAt
-}
-
-// otherCandidate returns the upstream that is to become primary in place of a
-// candidate whose promotion timed out; empty if there is none.
-func (m *Machine) otherCandidate(g *group, gh model.GroupHead) model.UpstreamID {
-	promoted := m.promotedUpstream(g, gh)
-	if promoted != nil && promoted.spec.ID != gh.Seal.Candidate {
-		return promoted.spec.ID
-	}
-	if gh.Seal.Candidate != gh.Primary && m.isPrimaryUsable(g, gh) {
-		return gh.Primary
-	}
-	other := m.mostAdvancedReplica(g, gh, gh.Seal.Candidate)
-	if other == nil {
-		return ""
-	}
-	return other.spec.ID
-}
-
 // isPromotionTimedOut reports whether the order to promote has had no success
 // for PromoteTimeout with a candidate that is lost, or for twice as long with
 // any.
@@ -296,36 +147,8 @@
 	return lost && waited >= m.cfg.PromoteTimeout || waited >= 2*m.cfg.PromoteTimeout
 }
 
-// leaseHolder returns the member that may still order promotions because it
-// started the present generation, or an empty ID once its lease has expired.
-func (m *Machine) leaseHolder(g *group, gh model.GroupHead) model.InstanceID {
-	if m.now-g.generationAt >= m.cfg.PromotionLeaseWait {
-		return ""
-	}
-	return gh.Promoter
-}
-
-// holdsPromotionLease reports whether this instance may order promotions: its
-// newest read of the head row is younger than PromotionLease, and the leases of
-// earlier promoters have expired, of this generation and of the one that ended.
-func (m *Machine) holdsPromotionLease(g *group, gh model.GroupHead) bool {
-	if gh.Seal.TakenOver && m.now-g.seal.promoterAt < m.cfg.PromotionLeaseWait {
-		return false
-	}
-	holder := m.leaseHolder(g, gh)
-	if holder != "" && holder != m.self {
-		return false
-	}
-	if m.cfg.PromotionLease == 0 {
-		return true
-	}
-	age := m.now - m.headReadAt
-	if age > m.cfg.PromotionLease/2 {
-		m.reads.wanted = true
-	}
-	return age < m.cfg.PromotionLease
-}
-
+// orderPromotion orders the promotion of the candidate, again each ResendInterval, if
+// this instance holds the promotion lease.
 func (m *Machine) orderPromotion(g *group, gh model.GroupHead) {
 	if !m.holdsPromotionLease(g, gh) {
 		return
@@ -342,6 +165,8 @@
 	m.emit(Promote{Group: g.id, Upstream: gh.Seal.Candidate, Next: gh.Seal.Next})
 }
 
+// promoted records the result of an order for the present seal. The old primary of
+// the group may also have stayed on its timeline, as the platform's present primary.
 func (m *Machine) promoted(event Promoted) {
 	g := m.groupByID[event.Group]
 	if g == nil || m.head == nil || !event.OK {
@@ -351,69 +176,13 @@
 	if !found || gh.Seal == nil || gh.Seal.Candidate != event.Upstream || gh.Seal.Next != event.Next {
 		return
 	}
-	if event.Timeline > gh.Timeline {
-		m.report(ReportPromoted, g.id, string(event.Upstream))
-	} else if event.Upstream != gh.Primary || event.Timeline < gh.Timeline {
+	started := event.Timeline > gh.Timeline
+	unchanged := event.Upstream == gh.Primary && event.Timeline == gh.Timeline
+	if !started && !unchanged {
 		return
 	}
 	g.promotion.result = &event
-}
-
-// startOnCandidate starts the next generation on the promoted candidate, or on the
-// old primary if the platform has confirmed that it still is the primary.
-func (m *Machine) startOnCandidate(g *group, gh model.GroupHead, result Promoted, changes *edits) {
-	if result.Timeline == gh.Timeline {
-		m.startOnOldPrimary(g, gh, changes)
-		return
-	}
-	m.startGeneration(gh, result.Timeline, result.StartLSN, changes)
-}
-
-// startOnOldPrimary starts the next generation on the old primary if that is
-// healthy again, and otherwise names another candidate. The start position is
-// probed after the last permit has expired or was given up, so no acknowledged
-// write lies above it.
-func (m *Machine) startOnOldPrimary(g *group, gh model.GroupHead, changes *edits) {
-	primary := g.upstream(gh.Primary)
-	if primary == nil {
-		return
-	}
-	if m.isLost(primary) {
-		best := m.mostAdvancedReplica(g, gh, "")
-		if best != nil {
-			m.sealGroup(gh, best.spec.ID, gh.Seal.Next+1, false, changes)
-		}
-		return
-	}
-	if !m.isProbeFresh(primary) || !m.isServing(g, primary) || primary.probe.StartedAt < g.seal.holdersStoppedAt {
-		m.probeNow(g)
-		return
-	}
-	m.startGeneration(gh, gh.Timeline, primary.probe.LSN, changes)
-}
-
-// isContested reports whether another upstream may have started the timeline of
-// the generation that follows gh, since an earlier candidate was replaced. Where
-// the platform promotes, no two upstreams start the same timeline.
-func (m *Machine) isContested(gh model.GroupHead) bool {
-	if m.cfg.PlatformPromotes {
-		return false
-	}
-	if gh.Seal.Candidate == gh.Primary {
-		return gh.Contested
+	if started {
+		m.report(ReportPromoted, g.id, string(event.Upstream))
 	}
-	return gh.Seal.Next > gh.Generation+1
-}
-
-// startGeneration writes the next generation, and thereby removes the seal.
-func (m *Machine) startGeneration(gh model.GroupHead, timeline uint32, start model.LSN, changes *edits) {
-	changes.addGroup(gh.ID, func(group *model.GroupHead) {
-		group.Generation = gh.Seal.Next
-		group.Contested = m.isContested(gh)
-		group.Primary = gh.Seal.Candidate
-		group.StartLSN = start
-		group.Timeline = timeline
-		group.Promoter = m.self
-		group.Seal = nil
-	})
 }
--- /dev/null
+++ b/pkg/state/failover/promotionlease.go
@@ -0,0 +1,35 @@
+package failover
+
+import (
+	"gypsumdock/pkg/state/model"
+)
+
+// leaseHolder returns the member that may still order promotions because it
+// started the present generation, or an empty ID once its lease has expired.
+func (m *Machine) leaseHolder(g *group, gh model.GroupHead) model.InstanceID {
+	if m.now-g.generationAt >= m.cfg.PromotionLeaseWait {
+		return ""
+	}
+	return gh.Promoter
+}
+
+// holdsPromotionLease reports whether this instance may order promotions: its
+// newest read of the head row is younger than PromotionLease, and the leases of
+// earlier promoters have expired, of this generation and of the one that ended.
+func (m *Machine) holdsPromotionLease(g *group, gh model.GroupHead) bool {
+	if gh.Seal.TakenOver && m.now-g.seal.promoterAt < m.cfg.PromotionLeaseWait {
+		return false
+	}
+	holder := m.leaseHolder(g, gh)
+	if holder != "" && holder != m.self {
+		return false
+	}
+	if m.cfg.PromotionLease == 0 {
+		return true
+	}
+	age := m.now - m.headReadAt
+	if age > m.cfg.PromotionLease/2 {
+		m.reads.wanted = true
+	}
+	return age < m.cfg.PromotionLease
+}
