--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -202,6 +202,11 @@
 	// TrustTimeline sends reads to every replica on the timeline of the head
 	// row, although two upstreams may have started that timeline.
 	TrustTimeline bool
+	// ForgetPromotions takes an old primary that answers for the present one,
+	// whatever promotion may have been ordered.
+	ForgetPromotions bool
+	// ForgetPromoter ends the promotion lease with the generation that it was for.
+	ForgetPromoter bool
 }
 
 // withDefaults returns c with a default for every time that is zero.
--- a/pkg/state/failover/promotionlease.go
+++ b/pkg/state/failover/promotionlease.go
@@ -7,7 +7,7 @@
 // leaseHolder returns the member that may still order promotions because it
 // started the present generation, or an empty ID once its lease has expired.
 func (m *Machine) leaseHolder(g *group, gh model.GroupHead) model.InstanceID {
-	if m.now-g.generationAt >= m.cfg.PromotionLeaseWait {
+	if m.now-g.generationAt >= m.cfg.PromotionLeaseWait || m.cfg.Rules.ForgetPromoter {
 		return ""
 	}
 	return gh.Promoter
--- a/pkg/state/failover/replacement.go
+++ b/pkg/state/failover/replacement.go
@@ -12,7 +12,7 @@
 // then start a generation only if the platform has promoted it again, or has
 // confirmed that it is still the primary.
 func (m *Machine) mayHavePromoted(g *group, gh model.GroupHead) bool {
-	if !m.cfg.PlatformPromotes {
+	if !m.cfg.PlatformPromotes || m.cfg.Rules.ForgetPromotions {
 		return false
 	}
 	return g.promotion.orderedAny || gh.Seal.TakenOver || m.isTimelineOutdated(g, gh)
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"gypsumdock/pkg/state/failover"
+	"gypsumdock/pkg/state/model"
 )
 
 const (
@@ -54,6 +55,11 @@
 	}
 }
 
+// expectWrites checks that writes are acknowledged.
+func (w *world) expectWrites(seed uint64) {
+	Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+}
+
 // darken takes an upstream away for darkTime.
 func (w *world) darken(up *server) {
 	up.alive = false
@@ -104,7 +110,7 @@
 			w.continueFor(2 * scenarioFor)
 			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
 			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 			Expect(w.longestPause(settleTime)).To(BeNumerically("<", scenarioFor), "seed %d", seed)
 		}
 	})
@@ -119,7 +125,7 @@
 			w.continueFor(2 * scenarioFor)
 			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
 			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 		}
 	})
 
@@ -137,7 +143,7 @@
 			Expect(w.table.group().Primary).To(BeEquivalentTo("u1"), "seed %d", seed)
 			Expect(w.hosted.term).To(BeEquivalentTo(1), "seed %d", seed)
 			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 		}
 	})
 
@@ -170,7 +176,7 @@
 			w.lead(w.server("u2"))
 			w.continueFor(scenarioFor)
 			Expect(w.table.group().Primary).To(BeEquivalentTo("u2"), "seed %d", seed)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 		}
 	})
 
@@ -208,7 +214,7 @@
 			}
 			w.requestSwitch("u2")
 			w.continueFor(2 * scenarioFor)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 		}
 	})
 
@@ -240,7 +246,7 @@
 			w.leave(w.server("u1"))
 			w.continueFor(2 * scenarioFor)
 			Expect(w.hosted.term).To(BeNumerically(">", 2), "seed %d", seed)
-			Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
+			w.expectWrites(seed)
 			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
 		}
 	})
@@ -254,4 +260,33 @@
 		Expect(total.violations).To(BeEmpty())
 		Expect(total.generations).To(BeNumerically(">", total.schedules/2))
 	})
+
+	DescribeTable("violates an invariant if a safety rule is off",
+		func(rules failover.Rules, violation string, faults ...fault) {
+			var total tally
+			for seed := uint64(0); seed < hostedSearchSeeds && len(total.violations) == 0; seed++ {
+				w := newHostedWorld(seed, rules, 3+int(seed%3))
+				total.add(seed, runWorld(w, faults))
+			}
+			Expect(total.violations).To(ContainElement(ContainSubstring(violation)))
+		},
+		Entry("ask the platform before an old primary is used again", failover.Rules{ForgetPromotions: true},
+			"committed at a replaced primary", killCandidate, pausePromoter, requestSwitch),
+	)
+
+	It("is switched by two instances in turn only with the lease of the promoter before", func() {
+		violationInTurn := func(rules failover.Rules) string {
+			w := newHostedWorld(0, rules, gapInstances)
+			w.run(settleTime)
+			for turn, target := range []model.UpstreamID{"u2", "u3", "u1"} {
+				n := w.nodes[turn%2]
+				n.handle(failover.SwitchRequested{Group: groupID, Target: target})
+				w.run(w.now + turnsWithin/3)
+			}
+			Expect(w.hosted.orders).NotTo(BeEmpty())
+			return w.violation
+		}
+		Expect(violationInTurn(failover.Rules{})).To(BeEmpty())
+		Expect(violationInTurn(failover.Rules{ForgetPromoter: true})).To(ContainSubstring("again order promotions"))
+	})
 })
--- a/testbench/hosted/hosted_test.go
+++ b/testbench/hosted/hosted_test.go
@@ -75,6 +75,21 @@
 	return reply
 }
 
+// awaitSwitchFrom waits until another database is primary.
+func awaitSwitchFrom(system *hosted.System, before *hosted.Database) {
+	Eventually(func() bool {
+		primary := system.Group.Primary()
+		return primary != nil && primary.ID != before.ID
+	}, patience, 50*time.Millisecond).Should(BeTrue())
+}
+
+// expectRunning checks that no process has ended.
+func expectRunning(system *hosted.System) {
+	for _, instance := range system.Instances {
+		Expect(instance.Process().Exited()).To(BeFalse())
+	}
+}
+
 var _ = Describe("a hosted system", func() {
 	It("shows a session its writes, with transactions, values and prepared statements", func() {
 		system := start()
@@ -141,10 +156,7 @@
 		must(client, "WRITE a 1")
 		before := system.Group.Primary()
 		before.SetDraining(true)
-		Eventually(func() bool {
-			primary := system.Group.Primary()
-			return primary != nil && primary.ID != before.ID
-		}, patience, 50*time.Millisecond).Should(BeTrue())
+		awaitSwitchFrom(system, before)
 		Expect(must(client, "READ a").Rows).To(Equal([]string{"1"}))
 		must(client, "WRITE a 2")
 	})
@@ -158,10 +170,7 @@
 			instance.ToStore.Reset()
 			before := system.Group.Primary()
 			before.SetDraining(true)
-			Eventually(func() bool {
-				primary := system.Group.Primary()
-				return primary != nil && primary.ID != before.ID
-			}, patience, 50*time.Millisecond).Should(BeTrue())
+			awaitSwitchFrom(system, before)
 			instance.ToStore.Heal()
 			before.SetDraining(false)
 			must(client, "WRITE a 1")
@@ -179,10 +188,7 @@
 		}
 		before := system.Group.Primary()
 		before.SetDraining(true)
-		Eventually(func() bool {
-			primary := system.Group.Primary()
-			return primary != nil && primary.ID != before.ID
-		}, patience, 50*time.Millisecond).Should(BeTrue())
+		awaitSwitchFrom(system, before)
 		must(dial(system, 0, hosted.DatabaseLatest), "WRITE a 2")
 	})
 
@@ -221,9 +227,7 @@
 		before.Crash()
 		must(client, "WRITE a 2")
 		Expect(before.Start()).To(Succeed())
-		for _, instance := range system.Instances {
-			Expect(instance.Process().Exited()).To(BeFalse())
-		}
+		expectRunning(system)
 		// A process that starts reads the whole list.
 		Expect(system.Instances[1].Process().Kill()).To(Succeed())
 		Expect(system.Instances[1].Start()).To(Succeed())
@@ -233,14 +237,9 @@
 		Expect(must(dial(system, 1, hosted.DatabaseLatest), "READ a").Rows).To(Equal([]string{"2"}))
 		second := system.Group.Primary()
 		second.SetDraining(true)
-		Eventually(func() bool {
-			primary := system.Group.Primary()
-			return primary != nil && primary.ID != second.ID
-		}, patience, 50*time.Millisecond).Should(BeTrue())
+		awaitSwitchFrom(system, second)
 		must(client, "WRITE a 3")
-		for _, instance := range system.Instances {
-			Expect(instance.Process().Exited()).To(BeFalse())
-		}
+		expectRunning(system)
 		Expect(system.Group.Violations()).To(BeEmpty())
 	})
 
