An old primary is confirmed only after earlier orders have taken effect

Change: a promoter orders the old primary PromotionLeaseWait after its own last order for another upstream at the earliest, as it already did after a takeover. A confirmation is dropped if an upstream shows a later timeline by then.

Test: search, "acknowledges no write at the old primary if an order takes effect after it was given up", failed before; either change makes it pass.

--- a/pkg/state/failover/config.go
+++ b/pkg/state/failover/config.go
@@ -129,8 +129,9 @@
 	EvictAfter time.Duration
 	// PromotionLease is the age of the newest read of the head row up to which
 	// a promoter orders promotions; zero for no bound. PromotionLeaseWait is
-	// how long a promoter that has taken over waits before its first order. It
-	// must exceed PromotionLease by the time that an order of its predecessor
+	// how long a promoter that has taken over waits before its first order, and
+	// any promoter before its first order for the old primary after one for
+	// another upstream. It must exceed PromotionLease by the time that an order
 	// may take to execute.
 	PromotionLease     time.Duration
 	PromotionLeaseWait time.Duration
--- a/pkg/state/failover/generation.go
+++ b/pkg/state/failover/generation.go
@@ -7,11 +7,16 @@
 // startOnCandidate starts the next generation on the promoted candidate, or on the
 // old primary if the platform has confirmed that it still is the primary.
 func (m *Machine) startOnCandidate(g *group, gh model.GroupHead, result Promoted, changes *edits) {
-	if result.Timeline == gh.Timeline {
-		m.startOnOldPrimary(g, gh, changes)
+	if result.Timeline > gh.Timeline {
+		m.startGeneration(gh, result.Timeline, result.StartLSN, changes)
 		return
 	}
-	m.startGeneration(gh, result.Timeline, result.StartLSN, changes)
+	if m.isTimelineOutdated(g, gh) {
+		// The platform has promoted another upstream since it confirmed this one.
+		g.promotion.nextSeal()
+		return
+	}
+	m.startOnOldPrimary(g, gh, changes)
 }
 
 // startOnOldPrimary starts the next generation on the old primary if that is
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -37,13 +37,21 @@
 	lastOrderedAt  time.Duration
 	// result is the newest successful answer, or nil.
 	result *Promoted
-	// orderedAny is true if this instance has ordered a promotion under any seal
-	// of the generation.
-	orderedAny bool
+	// orderedBefore is true if this instance has ordered a promotion under an earlier
+	// seal of the generation, and orderedBeforeAt is when it last did.
+	orderedBefore   bool
+	orderedBeforeAt time.Duration
 }
 
-// nextSeal discards what belongs to the seal before.
-func (r *promotionRecord) nextSeal() { *r = promotionRecord{orderedAny: r.orderedAny} }
+// nextSeal discards what belongs to the seal before, except for its last order.
+func (r *promotionRecord) nextSeal() {
+	next := promotionRecord{orderedBefore: r.orderedBefore, orderedBeforeAt: r.orderedBeforeAt}
+	if r.ordered {
+		next.orderedBefore = true
+		next.orderedBeforeAt = r.lastOrderedAt
+	}
+	*r = next
+}
 
 // decidePromotion continues the change of primary of which this instance is the
 // promoter: it stops the permit holders, has the candidate promoted, and starts
@@ -160,7 +168,6 @@
 		g.promotion.firstOrderedAt = m.now
 	}
 	g.promotion.ordered = true
-	g.promotion.orderedAny = true
 	g.promotion.lastOrderedAt = m.now
 	m.emit(Promote{Group: g.id, Upstream: gh.Seal.Candidate, Next: gh.Seal.Next})
 }
--- a/pkg/state/failover/replacement.go
+++ b/pkg/state/failover/replacement.go
@@ -15,7 +15,8 @@
 	if !m.cfg.PlatformPromotes || m.cfg.Rules.ForgetPromotions {
 		return false
 	}
-	return g.promotion.orderedAny || gh.Seal.TakenOver || m.isTimelineOutdated(g, gh)
+	ordered := g.promotion.ordered || g.promotion.orderedBefore
+	return ordered || gh.Seal.TakenOver || m.isTimelineOutdated(g, gh)
 }
 
 // isTimelineOutdated reports whether an upstream is found on a later timeline than that
--- a/pkg/state/failover/search/hosted_test.go
+++ b/pkg/state/failover/search/hosted_test.go
@@ -18,6 +18,7 @@
 	// leads, and promotionPoll the time between two looks at it, for
 	// promotionLimit.
 	promoteTime    = 600 * time.Millisecond
+	callTimeout    = time.Second
 	promotionPoll  = 60 * time.Millisecond
 	promotionLimit = 2500 * time.Millisecond
 	// effectTime is the time after which an accepted order has taken effect.
@@ -37,6 +38,10 @@
 	// term is the newest term.
 	term   uint32
 	orders []promotionOrder
+	// Up to downUntil the platform loses orders. From then up to slowUntil it accepts
+	// them callTimeout late, when the instance has given the call up.
+	downUntil time.Duration
+	slowUntil time.Duration
 	// stepsDownAt holds the old primaries that can reach the new one.
 	stepsDownAt map[model.UpstreamID]time.Duration
 	// onOrder and onLead, if not nil, are called once, when the next order is
@@ -92,6 +97,13 @@
 	head, _ := n.view.Head.Group(groupID)
 	up := n.w.server(order.Upstream)
 	result := failover.Promoted{Group: order.Group, Upstream: order.Upstream, Next: order.Next}
+	if n.w.now < n.w.hosted.slowUntil {
+		if n.w.now >= n.w.hosted.downUntil {
+			n.w.after(callTimeout, func() { n.w.acceptOrder(n, up) })
+		}
+		n.w.after(callTimeout, func() { n.endPromotion(result) })
+		return
+	}
 	n.w.after(n.w.net.delay(), func() {
 		if !up.alive {
 			n.endPromotion(result)
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -194,6 +194,20 @@
 		}
 	})
 
+	// The platform was slow, and the promoter gave its order up. It took effect after the promoter
+	// had ordered the old primary, which the platform still took for the present one.
+	It("acknowledges no write at the old primary if an order takes effect after it was given up", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.hosted.downUntil = w.now + 3*callTimeout
+			w.hosted.slowUntil = w.now + 4*callTimeout
+			w.requestSwitch("u2")
+			w.continueFor(2 * scenarioFor)
+			Expect(w.lostWrites()).To(BeZero(), "seed %d", seed)
+			w.expectWrites(seed)
+		}
+	})
+
 	// A promoter that has ordered nothing, and took nothing over, may still see that the platform
 	// has promoted another upstream, for an order that reached it late.
 	It("acknowledges no write at the old primary if the replicas follow another one", func() {
