--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -60,6 +60,15 @@
 	Expect(w.lastAck).To(BeNumerically(">", w.now-time.Second), "seed %d", seed)
 }
 
+// hostedFaults holds the faults of the search where the platform promotes.
+var hostedFaults = append(slices.Clone(allFaults), slowPromotions, slowPromotions, slowPromotions)
+
+// slowPromotions lets the platform accept orders only when the instances have given
+// them up.
+func slowPromotions(w *world, lasts time.Duration) {
+	w.hosted.slowUntil = w.now + lasts
+}
+
 // darken takes an upstream away for darkTime.
 func (w *world) darken(up *server) {
 	up.alive = false
@@ -269,7 +278,7 @@
 		var total tally
 		for seed := range hostedSearchSeeds {
 			w := newHostedWorld(seed, failover.Rules{}, 3+int(seed%3))
-			total.add(seed, runWorld(w, allFaults))
+			total.add(seed, runWorld(w, hostedFaults))
 		}
 		Expect(total.violations).To(BeEmpty())
 		Expect(total.generations).To(BeNumerically(">", total.schedules/2))
