A planned switch that was taken over late judges its target by a probe

Cause: after a restart of all, the member that took the planned switch over compared SwitchTimeout with the time since it had read the seal. That had passed before it had probed the target, so it went back to the old primary, which then was confirmed by the platform and left once more.

Change: the target is given up only after probes of both from after the permit holders stopped.

--- a/pkg/state/failover/generation.go
+++ b/pkg/state/failover/generation.go
@@ -35,7 +35,7 @@
 		}
 		return
 	}
-	if !m.isProbeFresh(primary) || !m.isServing(g, primary) || primary.probe.StartedAt < g.seal.holdersStoppedAt {
+	if !m.isProbeFresh(primary) || !m.isServing(g, primary) || !g.isProbedSinceStop(primary) {
 		m.probeNow(g)
 		return
 	}
--- a/pkg/state/failover/holders.go
+++ b/pkg/state/failover/holders.go
@@ -58,6 +58,12 @@
 	return true
 }
 
+// isProbedSinceStop reports whether the last probe of up, answered or not, started after
+// the permit holders had stopped.
+func (g *group) isProbedSinceStop(up *upstream) bool {
+	return up.known && up.probe.StartedAt >= g.seal.holdersStoppedAt
+}
+
 // hasStopped reports whether a member has confirmed that it holds no permit for the
 // sealed generation. This instance knows that of itself: it may have given its permit
 // up, or never held one, before it became promoter.
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -130,7 +130,7 @@
 	if primary == nil || !m.isProbeFresh(primary) || !m.isServing(g, primary) {
 		return false
 	}
-	if primary.probe.StartedAt < g.seal.holdersStoppedAt {
+	if !g.isProbedSinceStop(primary) {
 		return false
 	}
 	return m.isReplica(gh, target) && target.probe.LSN >= primary.probe.LSN
@@ -139,15 +139,15 @@
 // replacementTarget returns the upstream that is to become primary in place of
 // a planned switch's target; empty keeps the target. If the primary is lost,
 // the switch becomes a failover to the most advanced replica. If the target has
-// not caught up within SwitchTimeout, the old primary stays.
+// not caught up within SwitchTimeout, the old primary stays. That is judged by probes
+// from after the permit holders stopped, also by a promoter that has taken over late.
 func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
 	if g.lost {
 		return idOf(m.mostAdvancedReplica(g, gh, ""))
 	}
 	late := m.now-g.seal.learnedAt >= m.cfg.SwitchTimeout
-	primary := g.upstream(gh.Primary)
-	healthy := m.isProbeFresh(primary) && m.isServing(g, primary)
-	if late && healthy && !m.hasCaughtUp(g, gh, target) {
+	judged := target == nil || g.isProbedSinceStop(target)
+	if late && judged && m.isPrimaryUsable(g, gh) && !m.hasCaughtUp(g, gh, target) {
 		if m.writes.pending == nil {
 			m.report(ReportSwitchRefused, g.id, "the target did not catch up in time")
 		}
--- a/pkg/state/failover/replacement.go
+++ b/pkg/state/failover/replacement.go
@@ -80,5 +80,5 @@
 // permit had expired or was given up. It then has every acknowledged write.
 func (m *Machine) isPrimaryUsable(g *group, gh model.GroupHead) bool {
 	primary := g.upstream(gh.Primary)
-	return m.isProbeFresh(primary) && m.isServing(g, primary) && primary.probe.StartedAt >= g.seal.holdersStoppedAt
+	return m.isProbeFresh(primary) && m.isServing(g, primary) && g.isProbedSinceStop(primary)
 }
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -217,6 +217,20 @@
 		}
 	})
 
+	// review/8/day.toml, seed 102, once: the member that took a planned switch over after a restart
+	// of all gave the target up before it had probed it, and went back to the leaving primary.
+	It("completes a planned switch from a leaving primary after a restart of all", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.table.onSeal = func(w *world) { w.restartAll() }
+			w.leave(w.server("u1"))
+			w.continueFor(restartTime + recoveryTime)
+			Expect(w.table.group().Primary).NotTo(BeEquivalentTo("u1"), "seed %d", seed)
+			Expect(w.table.group().Generation).To(BeEquivalentTo(2), "seed %d", seed)
+			w.expectWrites(seed)
+		}
+	})
+
 	// A promoter that has ordered nothing, and took nothing over, may still see that the platform
 	// has promoted another upstream, for an order that reached it late.
 	It("acknowledges no write at the old primary if the replicas follow another one", func() {
