A busy target of a planned switch is given up in time

Change: the wait for a probe of the target ends SwitchTimeout after the permit holders have stopped.

--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -136,18 +136,26 @@
 	return m.isReplica(gh, target) && target.probe.LSN >= primary.probe.LSN
 }
 
+// isSwitchLate reports whether the target of a planned switch has had SwitchTimeout to
+// catch up. A promoter that has taken over late has to probe the target first, for
+// which it has SwitchTimeout again.
+func (m *Machine) isSwitchLate(g *group, target *upstream) bool {
+	if m.now-g.seal.learnedAt < m.cfg.SwitchTimeout {
+		return false
+	}
+	probed := target == nil || g.isProbedSinceStop(target)
+	return probed || m.now-g.seal.holdersStoppedAt >= m.cfg.SwitchTimeout
+}
+
 // replacementTarget returns the upstream that is to become primary in place of
 // a planned switch's target; empty keeps the target. If the primary is lost,
 // the switch becomes a failover to the most advanced replica. If the target has
-// not caught up within SwitchTimeout, the old primary stays. That is judged by probes
-// from after the permit holders stopped, also by a promoter that has taken over late.
+// not caught up within SwitchTimeout, the old primary stays.
 func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
 	if g.lost {
 		return idOf(m.mostAdvancedReplica(g, gh, ""))
 	}
-	late := m.now-g.seal.learnedAt >= m.cfg.SwitchTimeout
-	judged := target == nil || g.isProbedSinceStop(target)
-	if late && judged && m.isPrimaryUsable(g, gh) && !m.hasCaughtUp(g, gh, target) {
+	if m.isSwitchLate(g, target) && m.isPrimaryUsable(g, gh) && !m.hasCaughtUp(g, gh, target) {
 		if m.writes.pending == nil {
 			m.report(ReportSwitchRefused, g.id, "the target did not catch up in time")
 		}
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -231,6 +231,18 @@
 		}
 	})
 
+	// A target without capacity for probes is never judged by one.
+	It("keeps the old primary if the target of a planned switch is busy for long", func() {
+		for seed := range uint64(hostedSeeds) {
+			w := settledHostedWorld(seed)
+			w.table.onSeal = func(*world) { w.server("u2").busy = true }
+			w.requestSwitch("u2")
+			w.continueFor(2*hostedSwitchTimeout + time.Second)
+			Expect(w.table.group().Primary).To(BeEquivalentTo("u1"), "seed %d", seed)
+			w.expectWrites(seed)
+		}
+	})
+
 	// A promoter that has ordered nothing, and took nothing over, may still see that the platform
 	// has promoted another upstream, for an order that reached it late.
 	It("acknowledges no write at the old primary if the replicas follow another one", func() {
--- a/pkg/state/failover/search/node_test.go
+++ b/pkg/state/failover/search/node_test.go
@@ -185,6 +185,9 @@
 	result := failover.Probed{Group: groupID, Upstream: up.id, StartedAt: n.clock()}
 	n.w.after(n.w.net.delay(), func() {
 		back := n.w.net.delay()
+		if n.reaches(up) && up.busy {
+			return
+		}
 		if n.reaches(up) {
 			result.Reachable = true
 			result.Timeline = up.timeline
--- a/pkg/state/failover/search/server_test.go
+++ b/pkg/state/failover/search/server_test.go
@@ -27,6 +27,9 @@
 	lag model.LSN
 	// stalled stops the replay.
 	stalled bool
+	// busy is true while the server has no capacity for probes. Nothing is then
+	// known of it.
+	busy bool
 	// leaving is true while the configuration marks the server as leaving.
 	leaving bool
 	// changedAt is when branch last changed.
