--- a/pkg/coordination/region/promote_test.go
+++ b/pkg/coordination/region/promote_test.go
@@ -8,8 +8,8 @@
 	"gypsumdock/pkg/state/model"
 )
 
-// review/6: an order for the old primary is answered at once, whether the platform makes it
-// lead a new term a moment later or leaves it as it is.
+// Guards against a generation on an old primary that the platform makes lead a new term a
+// moment later: an order for it is answered at once, whether or not anything changes.
 var _ = DescribeTable("a promotion that the platform has accepted has had its effect",
 	func(id model.UpstreamID, sample region.Sample, settled, expected bool) {
 		head := model.GroupHead{Primary: "old", Timeline: 4}
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -89,8 +89,8 @@
 }
 
 var _ = Describe("a group that the platform promotes", func() {
-	// review/10: the rank of the members, and not who held the promotion lease, decided
-	// who replaced the next leaving primary, so that two holders took turns.
+	// Guards against two holders in turn: the rank of the members, and not who held the
+	// promotion lease, decided who replaced the next leaving primary.
 	It("is switched from each of several leaving primaries without two holders in turn", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
@@ -107,9 +107,9 @@
 		}
 	})
 
-	// review/6: the promoter froze after its order was accepted, and the new primary went dark
-	// before the head row named it. The member that took over made the old primary, which the
-	// platform had deposed, the primary again.
+	// Guards against writes at a deposed primary: the promoter froze after its order was
+	// accepted, and the new primary went dark before the head row named it. The member that took
+	// over made the old primary the primary again.
 	It("acknowledges no write at the old primary if the promoter freezes after its order", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
@@ -124,8 +124,8 @@
 		}
 	})
 
-	// review/6, without a fault on any instance: a promoter whose candidate was silent gave up the
-	// seal, and forgot with it that it had ordered a promotion.
+	// Guards against the same without a fault on any instance: a promoter whose candidate was
+	// silent gave up the seal, and forgot with it that it had ordered a promotion.
 	It("acknowledges no write at the old primary if the candidate is silent after the order", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
@@ -156,9 +156,9 @@
 		}
 	})
 
-	// review/more/leaving-primary-stays: a generation for which two candidates had been named was
-	// taken for one whose timeline two upstreams may have started, so that no replica was a
-	// target of the next switch.
+	// Guards against requests at a leaving primary: a generation for which two candidates had been
+	// named was taken for one whose timeline two upstreams may have started, so that no replica
+	// was a target of the next switch.
 	It("is switched from a leaving primary after a failover whose first candidate failed", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
@@ -189,8 +189,9 @@
 		}
 	})
 
-	// review/8: all processes were killed while the group was sealed and came back. The member that
-	// took the seal over waited for its own confirmation, which it never sends to itself.
+	// Guards against a group without a primary after all processes were killed while it was sealed:
+	// the member that took the seal over waited for its own confirmation, which it never sends to
+	// itself.
 	It("has a primary again soon after a restart of all while it is sealed", func() {
 		for seed := range uint64(hostedSeeds) {
 			for _, after := range []time.Duration{0, promoteTime / 2, 2 * promoteTime} {
@@ -217,8 +218,8 @@
 		}
 	})
 
-	// review/8/day.toml, seed 102, once: the member that took a planned switch over after a restart
-	// of all gave the target up before it had probed it, and went back to the leaving primary.
+	// Guards against requests at a leaving primary: the member that took a planned switch over after
+	// a restart of all gave the target up before it had probed it, and went back to that primary.
 	It("completes a planned switch from a leaving primary after a restart of all", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
@@ -285,8 +286,8 @@
 		}
 	})
 
-	// review/7: the new primary was lost for good before the head row named it. All others followed
-	// it, so that none was on the timeline of the head row.
+	// Guards against a group without a primary for good: the new primary was lost before the head
+	// row named it. All others followed it, so that none was on the timeline of the head row.
 	It("has a primary again if one that the head row never named is lost for good", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
