Failover: names and comments that stopped a reader

replacementCandidate decides which upstream takes a candidate's place; the three functions beside it are now named for the case they serve (replacementOfPrimary, replacementOfTarget, replacementAfterTimeout). isEarlierOrderPending and restart say what they do. The specs use the usual words (paused, lost, alternate).

--- a/pkg/coordination/region/promote.go
+++ b/pkg/coordination/region/promote.go
@@ -115,10 +115,10 @@
 	}
 }
 
-// isPromoted reports whether a sample of an upstream shows the effect of its promotion:
-// it is the primary of a term later than that of head. The platform changes nothing for
-// its present primary, so that of head need not have started a term if the sample was
-// taken after promotionEffectTime, which settled tells.
+// isPromoted reports whether a sample of an upstream shows the effect of an accepted
+// promotion: it is the primary of a term later than that of head. The platform changes
+// nothing for its present primary, so the primary of head may also be in the term of
+// head, once promotionEffectTime has passed; settled is true for a sample from after it.
 func isPromoted(id model.UpstreamID, sample Sample, head model.GroupHead, settled bool) bool {
 	if !sample.Primary {
 		return false
--- a/pkg/state/failover/generation.go
+++ b/pkg/state/failover/generation.go
@@ -13,7 +13,7 @@
 	}
 	if m.isTimelineOutdated(g, gh) {
 		// The platform has promoted another upstream since it confirmed this one.
-		g.promotion.nextSeal()
+		g.promotion.restart()
 		return
 	}
 	m.startOnOldPrimary(g, gh, changes)
--- a/pkg/state/failover/group.go
+++ b/pkg/state/failover/group.go
@@ -149,7 +149,7 @@
 		}
 		g.seal.content = *gh.Seal
 		g.seal.contentAt = m.now
-		g.promotion.nextSeal()
+		g.promotion.restart()
 	}
 	m.stopWriting(g, gh.Generation, gh.Seal.Planned)
 }
--- a/pkg/state/failover/plannedswitch.go
+++ b/pkg/state/failover/plannedswitch.go
@@ -147,11 +147,11 @@
 	return probed || m.now-g.seal.holdersStoppedAt >= m.cfg.SwitchTimeout
 }
 
-// replacementTarget returns the upstream that is to become primary in place of
+// replacementOfTarget returns the upstream that is to become primary in place of
 // a planned switch's target; empty keeps the target. If the primary is lost,
 // the switch becomes a failover to the most advanced replica. If the target has
 // not caught up within SwitchTimeout, the old primary stays.
-func (m *Machine) replacementTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
+func (m *Machine) replacementOfTarget(g *group, gh model.GroupHead, target *upstream) model.UpstreamID {
 	if g.lost {
 		return idOf(m.mostAdvancedReplica(g, gh, ""))
 	}
--- a/pkg/state/failover/promoter.go
+++ b/pkg/state/failover/promoter.go
@@ -43,8 +43,8 @@
 	orderedBeforeAt time.Duration
 }
 
-// nextSeal discards what belongs to the seal before, except for its last order.
-func (r *promotionRecord) nextSeal() {
+// restart discards the orders and their result, except for when the last order was.
+func (r *promotionRecord) restart() {
 	next := promotionRecord{orderedBefore: r.orderedBefore, orderedBeforeAt: r.orderedBeforeAt}
 	if r.ordered {
 		next.orderedBefore = true
@@ -94,7 +94,7 @@
 		}
 	}
 	if m.isPromotionTimedOut(g, candidate) {
-		other := m.otherCandidate(g, gh)
+		other := m.replacementAfterTimeout(g, gh)
 		if other != "" {
 			m.sealGroup(gh, other, gh.Seal.Next+1, false, changes)
 			return
--- a/pkg/state/failover/promotionlease.go
+++ b/pkg/state/failover/promotionlease.go
@@ -24,7 +24,7 @@
 	if holder != "" && holder != m.self {
 		return false
 	}
-	if gh.Seal.Candidate == gh.Primary && m.mayOrderTakeEffect(g) {
+	if gh.Seal.Candidate == gh.Primary && m.isEarlierOrderPending(g) {
 		return false
 	}
 	if m.cfg.PromotionLease == 0 {
@@ -37,9 +37,9 @@
 	return age < m.cfg.PromotionLease
 }
 
-// mayOrderTakeEffect reports whether an order that this instance gave for an earlier
-// candidate may still take effect. Until then the platform leaves the old primary
-// unchanged if its promotion is ordered, and deposes it later.
-func (m *Machine) mayOrderTakeEffect(g *group) bool {
+// isEarlierOrderPending reports whether an order that this instance gave for an earlier
+// candidate may still take effect. Until it does, the platform takes the old primary for
+// the present one and leaves it unchanged if its promotion is ordered.
+func (m *Machine) isEarlierOrderPending(g *group) bool {
 	return g.promotion.orderedBefore && m.now-g.promotion.orderedBeforeAt < m.cfg.PromotionLeaseWait
 }
--- a/pkg/state/failover/replacement.go
+++ b/pkg/state/failover/replacement.go
@@ -39,7 +39,7 @@
 		return m.replacementOfPrimary(g, gh, candidate)
 	}
 	if gh.Seal.Planned {
-		return m.replacementTarget(g, gh, candidate)
+		return m.replacementOfTarget(g, gh, candidate)
 	}
 	if m.isPrimaryUsable(g, gh) {
 		return gh.Primary
@@ -63,9 +63,9 @@
 	return idOf(m.mostAdvancedReplica(g, gh, ""))
 }
 
-// otherCandidate returns the upstream that is to become primary in place of a
+// replacementAfterTimeout returns the upstream that is to become primary in place of a
 // candidate whose promotion timed out; empty if there is none.
-func (m *Machine) otherCandidate(g *group, gh model.GroupHead) model.UpstreamID {
+func (m *Machine) replacementAfterTimeout(g *group, gh model.GroupHead) model.UpstreamID {
 	promoted := m.promotedUpstream(g, gh)
 	if promoted != nil && promoted.spec.ID != gh.Seal.Candidate {
 		return promoted.spec.ID
--- a/pkg/state/failover/search/hosted_test.go
+++ b/pkg/state/failover/search/hosted_test.go
@@ -26,9 +26,9 @@
 	// stepDownAfter is how long an old primary continues once it can reach the
 	// new one.
 	stepDownAfter = time.Second
-	// turnsWithin is the time within which two holders must not order promotions
-	// in turn.
-	turnsWithin = 3 * time.Second
+	// alternationWindow is the time within which two instances must not order promotions
+	// alternately.
+	alternationWindow = 3 * time.Second
 )
 
 // hosted simulates a platform that promotes the upstreams of the group. Each
@@ -141,7 +141,7 @@
 // acceptOrder carries out an order. It does nothing to the present primary.
 func (w *world) acceptOrder(by *node, up *server) {
 	w.hosted.orders = append(w.hosted.orders, promotionOrder{by: by.id, at: w.now})
-	w.checkTurns()
+	w.checkAlternation()
 	if up == w.leader() {
 		return
 	}
@@ -204,13 +204,13 @@
 	return w.hosted != nil && up.timeline < w.hosted.term
 }
 
-// checkTurns checks that no instance orders a promotion within turnsWithin of an
+// checkAlternation checks that no instance orders a promotion within alternationWindow of an
 // earlier one of its own with one of another instance between the two.
-func (w *world) checkTurns() {
+func (w *world) checkAlternation() {
 	orders := w.hosted.orders
 	last := orders[len(orders)-1]
 	between := model.InstanceID("")
-	for i := len(orders) - 2; i >= 0 && last.at-orders[i].at < turnsWithin; i-- {
+	for i := len(orders) - 2; i >= 0 && last.at-orders[i].at < alternationWindow; i-- {
 		if orders[i].by != last.by {
 			between = orders[i].by
 			continue
--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -20,11 +20,11 @@
 	// leavingDelay later.
 	leavingPrimaries = 10
 	leavingDelay     = 800 * time.Millisecond
-	// A promoter freezes for freezeTime, an upstream that has begun to lead goes dark
-	// darkAfter later for darkTime.
-	freezeTime = 3500 * time.Millisecond
-	darkAfter  = 200 * time.Millisecond
-	darkTime   = 7 * time.Second
+	// pauseTime is how long a promoter is paused. An upstream that has begun to lead is down
+	// for downTime from downAfter on.
+	pauseTime = 3500 * time.Millisecond
+	downAfter  = 200 * time.Millisecond
+	downTime   = 7 * time.Second
 	// restartTime is how long all nodes are gone in a restart of all, and recoveryTime the
 	// time after which the group must be served again.
 	restartTime  = 1200 * time.Millisecond
@@ -69,10 +69,10 @@
 	w.hosted.slowUntil = w.now + lasts
 }
 
-// darken takes an upstream away for darkTime.
-func (w *world) darken(up *server) {
+// takeDown makes an upstream unreachable for downTime.
+func (w *world) takeDown(up *server) {
 	up.alive = false
-	w.after(darkTime, func() { up.alive = true })
+	w.after(downTime, func() { up.alive = true })
 }
 
 // restartAll ends all nodes, and starts as many on the same machines.
@@ -89,9 +89,9 @@
 }
 
 var _ = Describe("a group that the platform promotes", func() {
-	// Guards against two holders in turn: the rank of the members, and not who held the
+	// Guards against two instances that order promotions alternately: the rank of the members, and not who held the
 	// promotion lease, decided who replaced the next leaving primary.
-	It("is switched from each of several leaving primaries without two holders in turn", func() {
+	It("is switched from each of several leaving primaries without two instances that alternate", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
 			for range leavingPrimaries {
@@ -107,14 +107,14 @@
 		}
 	})
 
-	// Guards against writes at a deposed primary: the promoter froze after its order was
-	// accepted, and the new primary went dark before the head row named it. The member that took
+	// Guards against writes at a deposed primary: the promoter was paused after its order was
+	// accepted, and the new primary was lost before the head row named it. The member that took
 	// over made the old primary the primary again.
-	It("acknowledges no write at the old primary if the promoter freezes after its order", func() {
+	It("acknowledges no write at the old primary if the promoter is paused after its order", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
-			w.hosted.onOrder = func(by *node) { by.pause(freezeTime) }
-			w.hosted.onLead = func(up *server) { w.after(darkAfter, func() { w.darken(up) }) }
+			w.hosted.onOrder = func(by *node) { by.pause(pauseTime) }
+			w.hosted.onLead = func(up *server) { w.after(downAfter, func() { w.takeDown(up) }) }
 			w.leave(w.server("u1"))
 			w.continueFor(2 * scenarioFor)
 			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
@@ -129,7 +129,7 @@
 	It("acknowledges no write at the old primary if the candidate is silent after the order", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
-			w.hosted.onLead = w.darken
+			w.hosted.onLead = w.takeDown
 			w.leave(w.server("u1"))
 			w.continueFor(2 * scenarioFor)
 			Expect(w.hosted.term).To(BeNumerically(">", 1), "seed %d", seed)
@@ -140,12 +140,12 @@
 
 	// A promoter that takes over cannot tell whether a promotion was ordered. If none was, the
 	// platform confirms the old primary, which must not stay sealed.
-	It("keeps the old primary if the promoter freezes before its order and the candidate is silent", func() {
+	It("keeps the old primary if the promoter is paused before its order and the candidate is silent", func() {
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
 			w.table.onSeal = func(*world) {
-				w.darken(w.server(w.table.group().Seal.Candidate))
-				w.promoter().pause(freezeTime)
+				w.takeDown(w.server(w.table.group().Seal.Candidate))
+				w.promoter().pause(pauseTime)
 			}
 			w.requestSwitch("u2")
 			w.continueFor(2 * scenarioFor)
@@ -163,7 +163,7 @@
 		for seed := range uint64(hostedSeeds) {
 			w := settledHostedWorld(seed)
 			w.server("u1").alive = false
-			w.table.onSeal = func(*world) { w.darken(w.server(w.table.group().Seal.Candidate)) }
+			w.table.onSeal = func(*world) { w.takeDown(w.server(w.table.group().Seal.Candidate)) }
 			w.continueFor(scenarioFor)
 			w.server("u1").alive = true
 			w.continueFor(scenarioFor)
@@ -259,7 +259,7 @@
 				w.after(hostedSwitchTimeout/2, func() {
 					target.stalled = false
 					w.lead(other)
-					w.after(darkAfter, func() { w.darken(other) })
+					w.after(downAfter, func() { w.takeDown(other) })
 				})
 			}
 			w.requestSwitch("u2")
@@ -324,19 +324,19 @@
 			"committed at a replaced primary", killCandidate, pausePromoter, requestSwitch),
 	)
 
-	It("is switched by two instances in turn only with the lease of the promoter before", func() {
-		violationInTurn := func(rules failover.Rules) string {
+	It("is switched by another instance only after the lease of the last promoter", func() {
+		violationOf := func(rules failover.Rules) string {
 			w := newHostedWorld(0, rules, gapInstances)
 			w.run(settleTime)
 			for turn, target := range []model.UpstreamID{"u2", "u3", "u1"} {
 				n := w.nodes[turn%2]
 				n.handle(failover.SwitchRequested{Group: groupID, Target: target})
-				w.run(w.now + turnsWithin/3)
+				w.run(w.now + alternationWindow/3)
 			}
 			Expect(w.hosted.orders).NotTo(BeEmpty())
 			return w.violation
 		}
-		Expect(violationInTurn(failover.Rules{})).To(BeEmpty())
-		Expect(violationInTurn(failover.Rules{ForgetPromoter: true})).To(ContainSubstring("again order promotions"))
+		Expect(violationOf(failover.Rules{})).To(BeEmpty())
+		Expect(violationOf(failover.Rules{ForgetPromoter: true})).To(ContainSubstring("again order promotions"))
 	})
 })
