--- a/pkg/state/failover/search/hostedscenario_test.go
+++ b/pkg/state/failover/search/hostedscenario_test.go
@@ -23,8 +23,8 @@
 	// pauseTime is how long a promoter is paused. An upstream that has begun to lead is down
 	// for downTime from downAfter on.
 	pauseTime = 3500 * time.Millisecond
-	downAfter  = 200 * time.Millisecond
-	downTime   = 7 * time.Second
+	downAfter = 200 * time.Millisecond
+	downTime  = 7 * time.Second
 	// restartTime is how long all nodes are gone in a restart of all, and recoveryTime the
 	// time after which the group must be served again.
 	restartTime  = 1200 * time.Millisecond
