--- a/review/stand-3/database.go
+++ b/review/stand-3/database.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -188,6 +189,7 @@
 }
 
 func (d *Database) beats(listener net.Listener) {
+	time.Sleep(time.Duration(rand.Int64N(int64(d.service.beat))))
 	for {
 		time.Sleep(d.service.beat)
 		d.service.mu.Lock()
--- a/review/stand-3/logs.go
+++ b/review/stand-3/logs.go
@@ -25,7 +25,7 @@
 // logs stops to read the log of one instance. Later the platform stops that instance
 // as planned.
 func logs(s *site) (int, error) {
-	y, err := s.startSystem(4, "")
+	y, err := s.startSystem(4, options{})
 	if y != nil {
 		defer y.close()
 	}
--- a/review/stand-3/peers.go
+++ b/review/stand-3/peers.go
@@ -20,7 +20,7 @@
 // peers replaces a replica, as planned, some seconds after the store has come back from
 // a copy that is older than two quick successions of configurations.
 func peers(s *site) (int, error) {
-	y, err := s.startSystem(4, "")
+	y, err := s.startSystem(4, options{})
 	if y != nil {
 		defer y.close()
 	}
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -19,6 +19,10 @@
 	version int
 	service string
 	most    int
+	// others are the names of further services, to each of which a route leads.
+	others []string
+	// keys are the access keys of the only tenant; nil for none.
+	keys []string
 }
 
 // value returns the row of the configuration.
@@ -33,29 +37,48 @@
 		}
 		return r
 	}
-	return map[string]any{
-		"version": c.version,
-		"routes": []any{
-			route(latest, "primary", 1, 0), route(ryw, "read_your_writes", 2, 2500), route(bounded, "bounded_staleness", 2, 1500),
-		},
-		"services": []any{map[string]any{"name": c.service, "max_connections": c.most, "sync_replicas": 0}},
-		"limits":   map[string]any{"transaction_idle_ms": 3000},
+	routes := []any{
+		route(latest, "primary", 1, 0), route(ryw, "read_your_writes", 2, 2500), route(bounded, "bounded_staleness", 2, 1500),
 	}
+	services := []any{map[string]any{"name": c.service, "max_connections": c.most, "sync_replicas": 0}}
+	for _, name := range c.others {
+		further := route("db-"+name, "primary", 1, 0)
+		further["service"] = name
+		routes = append(routes, further)
+		services = append(services, map[string]any{"name": name, "max_connections": c.most, "sync_replicas": 0})
+	}
+	fields := map[string]any{
+		"version": c.version, "routes": routes, "services": services, "limits": map[string]any{"transaction_idle_ms": 3000},
+	}
+	if c.keys != nil {
+		fields["tenants"] = []any{map[string]any{"name": "acme", "api_keys": c.keys}}
+	}
+	return fields
 }
 
 // system is a small deployment.
 type system struct {
 	*site
-	store    *Store
-	service  *Service
+	store   *Store
+	service *Service
+	// others are further services.
+	others   []*Service
 	machines []*Instance
 	config   config
 }
 
+// options say what a system has besides the usual.
+type options struct {
+	// settings are further lines of the table `bounds` of the settings.
+	settings string
+	others   []string
+	keys     []string
+}
+
 var zones = []string{"colombo", "colombo", "gampaha", "kalutara"}
 
 // startSystem starts the stand-ins and the instances, and waits until they are ready.
-func (s *site) startSystem(count int, settings string) (*system, error) {
+func (s *site) startSystem(count int, with options) (*system, error) {
 	store, err := startStore()
 	if err != nil {
 		return nil, err
@@ -64,13 +87,22 @@
 	if err != nil {
 		return nil, err
 	}
-	y := &system{site: s, store: store, service: service, config: config{version: 7, service: service.name, most: service.most}}
+	y := &system{site: s, store: store, service: service, config: config{
+		version: 7, service: service.name, most: service.most, others: with.others, keys: with.keys,
+	}}
+	for _, name := range with.others {
+		other, err := startService(store, s.record, name, []string{"colombo", "gampaha", "kalutara"})
+		if err != nil {
+			return y, err
+		}
+		y.others = append(y.others, other)
+	}
 	y.configure()
 	places := make([]string, count)
 	for i := range places {
 		places[i] = zones[i%len(zones)]
 	}
-	y.machines, err = machines(s.dir, s.record, store.address(), service.cloud.Addr().String(), places, settings)
+	y.machines, err = machines(s.dir, s.record, store.address(), service.cloud.Addr().String(), places, with.settings)
 	if err != nil {
 		return y, err
 	}
@@ -97,8 +129,10 @@
 	for _, m := range y.machines {
 		m.kill()
 	}
-	for _, d := range y.service.databases {
-		d.stop()
+	for _, service := range append(y.others, y.service) {
+		for _, d := range service.databases {
+			d.stop()
+		}
 	}
 }
 
