--- a/review/stand-3/instance.go
+++ b/review/stand-3/instance.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -131,16 +132,48 @@
 		return err
 	}
 	go m.collect(collector, log)
+	remember(m.command.Process)
 	command, done := m.command, make(chan struct{})
 	m.done = done
 	m.record.note("%s started, process %d", m.name, command.Process.Pid)
 	go func() {
 		_ = command.Wait()
+		forget(command.Process)
 		close(done)
 	}()
 	return nil
 }
 
+// started holds the processes that run.
+var started struct {
+	sync.Mutex
+	all map[int]*os.Process
+}
+
+func remember(process *os.Process) {
+	started.Lock()
+	defer started.Unlock()
+	if started.all == nil {
+		started.all = map[int]*os.Process{}
+	}
+	started.all[process.Pid] = process
+}
+
+func forget(process *os.Process) {
+	started.Lock()
+	defer started.Unlock()
+	delete(started.all, process.Pid)
+}
+
+// killStarted ends the processes that run.
+func killStarted() {
+	started.Lock()
+	defer started.Unlock()
+	for _, process := range started.all {
+		_ = process.Kill()
+	}
+}
+
 // collect copies the log of a process to a file, except while it is stalled.
 func (m *Instance) collect(from, to *os.File) {
 	defer func() { _ = to.Close() }()
--- a/review/stand-3/keys.go
+++ b/review/stand-3/keys.go
@@ -14,7 +14,7 @@
 	// revocationTime is revocation_ms of the settings.
 	revocationTime = 5 * time.Second
 	// rounds is the number of drills; in each one key is taken away.
-	rounds = 8
+	rounds = 7
 	// copyAge is the age of the copy when the store goes away, and awayTime for how
 	// long it is away.
 	copyAge  = 2000 * time.Millisecond
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -28,9 +30,19 @@
 	name := flag.String("case", "", "name of the case")
 	out := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
+	go endOnSignal()
 	os.Exit(run(*name, *out))
 }
 
+// endOnSignal ends all processes that were started if the script is ended early.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-signals
+	killStarted()
+	os.Exit(failed)
+}
+
 func run(name, out string) int {
 	play, known := cases[name]
 	if !known {
